--- a/coord/configuration/codec.go
+++ b/coord/configuration/codec.go
@@ -30,12 +30,12 @@
 
 // Encode returns the command in its wire form.
 func (c Command) Encode() *wire.RegistryPropose {
-	return &wire.RegistryPropose{Id: c.ID, Actor: c.Actor, Expected: c.Expected, Edits: encodeChanges(c.Changes)}
+	return &wire.RegistryPropose{Id: c.ID, Actor: c.Actor, Expected: c.Expected, Edits: encodeChanges(c.Changes), Numbered: c.Numbered}
 }
 
 // DecodeCommand reads the wire form of a command.
 func DecodeCommand(m *wire.RegistryPropose) Command {
-	return Command{ID: m.GetId(), Actor: m.GetActor(), Expected: m.GetExpected(), Changes: decodeChanges(m.GetEdits())}
+	return Command{ID: m.GetId(), Actor: m.GetActor(), Expected: m.GetExpected(), Changes: decodeChanges(m.GetEdits()), Numbered: m.GetNumbered()}
 }
 
 func encodeObjects(objects []Object) []*wire.RegistryObject {
--- a/coord/configuration/machine.go
+++ b/coord/configuration/machine.go
@@ -82,6 +82,9 @@
 
 // Propose applies a committed command; a command sent again gets its first outcome.
 func (m *Machine) Propose(command Command) Outcome {
+	if command.Numbered {
+		return m.replace(command)
+	}
 	digest := command.digest()
 	if k, ok := m.kept[command.ID]; ok {
 		if k.digest != digest {
@@ -107,17 +110,47 @@
 	if command.Expected < m.newest || m.newest != m.inForce {
 		return m.lose(command, outcome)
 	}
-	objects, err := m.applied(command.Changes)
-	if err != nil {
+	if err := m.make(command); err != nil {
 		outcome.Reason, outcome.Detail = Invalid, err.Error()
 		return outcome
 	}
+	return Outcome{ID: command.ID, Status: Committed, Version: m.newest}
+}
+
+// replace applies a numbered command, also while another version is pending: the number alone decides. Its outcome is not
+// kept, since the stored number answers a command that is sent again.
+func (m *Machine) replace(command Command) Outcome {
+	if len(command.Changes) != 1 || command.Changes[0].Remove {
+		return Outcome{ID: command.ID, Status: Refused, Reason: Invalid, Version: m.newest, Detail: "a numbered command puts one object"}
+	}
+	object := command.Changes[0].Object
+	held, _ := m.objects.Get(object.Kind, object.Name)
+	heldNumber, _ := Numbered(held)
+	if number, _ := Numbered(object.Value); number <= heldNumber {
+		status := Accepted
+		if m.newest != m.inForce {
+			status = Committed
+		}
+		return Outcome{ID: command.ID, Status: status, Version: m.newest}
+	}
+	if err := m.make(command); err != nil {
+		return Outcome{ID: command.ID, Status: Refused, Reason: Invalid, Version: m.newest, Detail: err.Error()}
+	}
+	return Outcome{ID: command.ID, Status: Committed, Version: m.newest}
+}
+
+// make makes the next version.
+func (m *Machine) make(command Command) error {
+	objects, err := m.applied(command.Changes)
+	if err != nil {
+		return err
+	}
 	m.objects = objects
 	m.newest++
 	m.versions = append(m.versions, Version{Number: m.newest, Command: command.ID, Actor: command.Actor, Changes: command.Changes})
 	m.versions = m.versions[max(0, len(m.versions)-m.history):]
 	m.assert()
-	return Outcome{ID: command.ID, Status: Committed, Version: m.newest}
+	return nil
 }
 
 // lose names the command that won; a command that lost to itself was applied before and its outcome was dropped since.
@@ -181,16 +214,19 @@
 // SetInForce applies a committed InForce; it returns the outcome of the command that made the version and
 // whether the version came into force by this call.
 func (m *Machine) SetInForce(version uint64) (Outcome, bool) {
-	if version != m.newest || m.newest == m.inForce {
+	if version > m.newest || version <= m.inForce {
 		return Outcome{}, false
 	}
-	made, _ := m.version(version)
+	var outcome Outcome
+	for number := m.inForce + 1; number <= version; number++ {
+		made, _ := m.version(number)
+		outcome = Outcome{ID: made.Command, Status: Accepted, Version: number}
+		if k, ok := m.kept[made.Command]; ok {
+			k.outcome = outcome
+		}
+	}
 	m.inForce = version
 	m.assert()
-	outcome := Outcome{ID: made.Command, Status: Accepted, Version: version}
-	if k, ok := m.kept[made.Command]; ok {
-		k.outcome = outcome
-	}
 	return outcome, true
 }
 
@@ -213,10 +249,10 @@
 	return update
 }
 
-// assert holds the invariant that at most one version is pending and that the history ends in the newest version.
+// assert holds the invariant that no version is in force before it is made and that the history ends in the newest version.
 func (m *Machine) assert() {
-	if m.newest != m.inForce && m.newest != m.inForce+1 {
-		panic(fmt.Sprintf("configuration: version %d is in force and %d is the newest: only one may be pending", m.inForce, m.newest))
+	if m.newest < m.inForce {
+		panic(fmt.Sprintf("configuration: version %d is in force and %d is the newest", m.inForce, m.newest))
 	}
 	if len(m.versions) > 0 && m.versions[len(m.versions)-1].Number != m.newest {
 		panic(fmt.Sprintf("configuration: the history ends in version %d, not in %d", m.versions[len(m.versions)-1].Number, m.newest))
--- a/coord/configuration/outcome.go
+++ b/coord/configuration/outcome.go
@@ -16,6 +16,9 @@
 	// Expected is the version in force that the changes were made for.
 	Expected uint64
 	Changes  []Change
+	// Numbered says that the command puts one object whose value was made by Number: the highest number wins, whatever the
+	// expected version, and a command with a number that is not higher changes nothing.
+	Numbered bool
 }
 
 func (c Command) digest() uint64 {
--- a/coord/journal/journal.go
+++ b/coord/journal/journal.go
@@ -175,6 +175,12 @@
 	return oops.In("journal").Wrapf(replace(disk, identityFile, frame(wire.EncodeFolder(cluster, id), 0, 0)), "write the identity")
 }
 
+// Founded reports whether a data folder has an identity.
+func Founded(disk Disk) (bool, error) {
+	files, err := disk.List()
+	return slices.Contains(files, identityFile), err
+}
+
 func segmentName(number uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, number) }
 
 func segmentNumber(name string) (uint64, bool) {
--- a/coord/journal/open.go
+++ b/coord/journal/open.go
@@ -88,7 +88,12 @@
 	if slices.Contains(files, identityFile) {
 		return j.readIdentity()
 	}
-	if len(j.segments) > 0 || slices.Contains(files, snapshotFile) {
+	if len(j.segments) == 0 && slices.Contains(files, snapshotFile) {
+		// A founding that was interrupted before the identity was durable: the folder has promised nothing.
+		if err := j.disk.Remove(snapshotFile); err != nil {
+			return Stored{}, err
+		}
+	} else if len(j.segments) > 0 {
 		return Stored{}, &Corrupt{File: identityFile, Reason: "it is missing beside other files"}
 	}
 	if j.random == nil || j.name == "" || j.cluster == "" {
--- a/coord/lease/granter.go
+++ b/coord/lease/granter.go
@@ -108,6 +108,20 @@
 	return g.Ready(now) && len(g.Waiting(now, version)) == 0
 }
 
+// Settled returns the newest version up to the given one that each VM with a lease has installed; 0 while the leases of
+// earlier leaders may still last.
+func (g *Granter) Settled(now time.Duration, newest uint64) uint64 {
+	if !g.Ready(now) {
+		return 0
+	}
+	for _, held := range g.grants {
+		if now < held.until {
+			newest = min(newest, held.installed)
+		}
+	}
+	return newest
+}
+
 // Waiting returns the VMs that hold a lease and have not installed the version, in order. An earlier life of a VM counts
 // until its lease has run out, because its process may be frozen rather than dead.
 func (g *Granter) Waiting(now time.Duration, version uint64) []Life {
--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -84,6 +84,10 @@
 		}
 	case c.now < c.deadline:
 	case c.isVoter(c.self):
+		// A voter that nobody elects may have been removed while it was away, and does not know it.
+		if c.role == PreCandidate {
+			c.announce()
+		}
 		c.askPreVotes()
 	default:
 		c.announce()
@@ -171,7 +175,7 @@
 		return false
 	}
 	if m.Kind == Join {
-		return c.role == Leader && m.To.Name == c.self.Name
+		return m.To.Name == c.self.Name
 	}
 	if m.To != c.self {
 		return false
@@ -189,7 +193,7 @@
 
 func (c *Core) dispatch(m Message) {
 	if m.Kind == Join {
-		c.meet(m.From)
+		c.hearJoin(m)
 		return
 	}
 	if m.Term < c.term {
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -15,6 +15,7 @@
 	heartbeat time.Duration
 	election  time.Duration
 	repair    time.Duration
+	voters    int
 	compact   uint64
 	keep      uint64
 	batch     int
@@ -69,6 +70,10 @@
 // WithRepairAfter sets for how long an incarnation must be silent before the leader replaces it.
 func WithRepairAfter(silence time.Duration) Option { return func(s *settings) { s.repair = silence } }
 
+// WithVoters lets the leader admit VMs of any name: as learners first, which become voters while the group has fewer
+// than this number of voters or in the place of a silent one. 0 admits only VMs that replace a member of the same name.
+func WithVoters(target int) Option { return func(s *settings) { s.voters = target } }
+
 // WithCompaction sets after how many applied entries a snapshot is asked for and how many of them stay in memory.
 func WithCompaction(after, keep uint64) Option {
 	return func(s *settings) { s.compact, s.keep = after, keep }
--- a/coord/registry/command.go
+++ b/coord/registry/command.go
@@ -28,6 +28,11 @@
 	return encode(now, message)
 }
 
+// Read returns the log entry that reads one object; its reply is the newest committed value at the entry's position.
+func Read(now time.Time, kind, name string) []byte {
+	return encode(now, &wire.RegistryCommand{Body: &wire.RegistryCommand_Read{Read: &wire.RegistryRead{Kind: kind, Name: name}}})
+}
+
 // TakeOrders returns the log entry with which a VM takes the order lease.
 func TakeOrders(now time.Time, life lease.Life) []byte {
 	owner := ledger.EncodeOwner(ledger.Owner(life))
--- a/coord/registry/machine.go
+++ b/coord/registry/machine.go
@@ -27,6 +27,14 @@
 	Change  *configuration.Outcome
 	Booking *ledger.Reply
 	Fence   *lease.Fence
+	Read    *Object
+}
+
+// Object is the reply to a read; an object that does not exist has no value.
+type Object struct {
+	// Version is the version of the configuration that the value was read from.
+	Version uint64
+	Value   []byte
 }
 
 // Machine is the combined replicated state.
@@ -116,13 +124,17 @@
 		outcome := m.configuration.Propose(configuration.DecodeCommand(body.Propose))
 		reply.Change = &outcome
 	case *wire.RegistryCommand_InForce:
+		before := m.configuration.InForce()
 		if outcome, changed := m.configuration.SetInForce(body.InForce.GetVersion()); changed {
 			reply.Change = &outcome
-			m.dropAccounts()
+			m.dropAccounts(before)
 		}
 	case *wire.RegistryCommand_TakeOrders:
 		fence := m.fence.Take(lease.Life(ledger.DecodeOwner(body.TakeOrders)))
 		reply.Fence = &fence
+	case *wire.RegistryCommand_Read:
+		value, _ := m.configuration.Objects().Get(body.Read.GetKind(), body.Read.GetName())
+		reply.Read = &Object{Version: m.configuration.Newest(), Value: value}
 	default:
 		command, err := ledger.DecodeCommand(message)
 		if err != nil {
@@ -135,12 +147,16 @@
 }
 
 // dropAccounts drops the fingerprints of the accounts that the version now in force has removed.
-func (m *Machine) dropAccounts() {
-	history := m.configuration.History()
-	for _, change := range history[len(history)-1].Changes {
-		object := change.Object
-		if _, exists := m.configuration.Objects().Get(object.Kind, object.Name); object.Kind == m.accountKind && !exists {
-			m.ledger.DropAccount(object.Name)
+func (m *Machine) dropAccounts(before uint64) {
+	for _, version := range m.configuration.History() {
+		if version.Number <= before || version.Number > m.configuration.InForce() {
+			continue
+		}
+		for _, change := range version.Changes {
+			object := change.Object
+			if _, exists := m.configuration.Objects().Get(object.Kind, object.Name); object.Kind == m.accountKind && !exists {
+				m.ledger.DropAccount(object.Name)
+			}
 		}
 	}
 }
--- a/relay/catalogue/catalogue.go
+++ b/relay/catalogue/catalogue.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sort"
 	"strings"
+
+	"github.com/chicoryrelay/chicoryrelay/coord/configuration"
 )
 
 // Object is one entry of the replicated configuration: its value is the JSON of one of the object types.
@@ -24,8 +26,22 @@
 	KindAssistant = "assistant"
 	KindRule      = "rule"
 	KindOperator  = "operator"
+	// KindDesired holds the whole desired state, numbered from outside; its only object is named DesiredName.
+	KindDesired = "desired"
+	// KindWeights holds the weights version that was named for a model, as the object's number.
+	KindWeights = "weights"
 )
 
+// DesiredName is the name of the object that holds the whole desired state.
+const DesiredName = "state"
+
+// Desired is the whole desired state as an operator sent it.
+type Desired struct {
+	// Number is the operator's version; 0 means that there is none yet.
+	Number   uint64
+	Document []byte
+}
+
 // Catalogue is one immutable version of the configuration in typed form.
 type Catalogue struct {
 	Version    uint64
@@ -34,6 +50,9 @@
 	Assistants map[string]Assistant
 	Rules      []Rule
 	Operators  map[string]Operator
+	Desired    Desired
+	// Weights are the newest weights version named for each model.
+	Weights map[string]uint64
 
 	accountsByKey  map[string]string
 	operatorsByKey map[string]string
@@ -46,6 +65,7 @@
 		Accounts:       map[string]Account{},
 		Assistants:     map[string]Assistant{},
 		Operators:      map[string]Operator{},
+		Weights:        map[string]uint64{},
 		accountsByKey:  map[string]string{},
 		operatorsByKey: map[string]string{},
 	}
@@ -60,6 +80,15 @@
 }
 
 func (c *Catalogue) add(object Object) error {
+	number, content := configuration.Numbered(object.Value)
+	switch object.Kind {
+	case KindDesired:
+		c.Desired = Desired{Number: number, Document: content}
+		return nil
+	case KindWeights:
+		c.Weights[object.Name] = number
+		return nil
+	}
 	value, err := Decode(object)
 	if err != nil {
 		return err
--- a/relay/control/encode.go
+++ b/relay/control/encode.go
@@ -19,6 +19,7 @@
 	Change  *configuration.Outcome
 	Booking *ledger.Reply
 	Fence   *lease.Fence
+	Read    *registry.Object
 }
 
 // stamp gives a command the leader's wall clock in place of the submitter's, so that one VM's wrong clock moves no retention limit.
@@ -46,6 +47,8 @@
 		m.Reply = &peer.Submitted_Booking{Booking: &peer.BookingReply{
 			Verdict: uint32(b.Verdict), Attempt: b.Attempt[:], Answer: b.Answer, Gone: b.AnswerGone, Detail: b.Detail, Ledger: b.Sequence,
 		}}
+	case reply.Read != nil:
+		m.Reply = &peer.Submitted_Read{Read: &peer.ReadReply{Version: reply.Read.Version, Value: reply.Read.Value}}
 	case reply.Fence != nil:
 		m.Reply = &peer.Submitted_Fence{Fence: &peer.FenceReply{Number: reply.Fence.Number, Vm: reply.Fence.Life.VM, Boot: reply.Fence.Life.Boot}}
 	}
@@ -65,6 +68,8 @@
 		reply := ledger.Reply{Verdict: ledger.Verdict(b.GetVerdict()), Answer: b.GetAnswer(), AnswerGone: b.GetGone(), Detail: b.GetDetail(), Sequence: b.GetLedger()}
 		copy(reply.Attempt[:], b.GetAttempt())
 		return Result{Booking: &reply}, true
+	case *peer.Submitted_Read:
+		return Result{Read: &registry.Object{Version: r.Read.GetVersion(), Value: r.Read.GetValue()}}, true
 	case *peer.Submitted_Fence:
 		f := r.Fence
 		return Result{Fence: &lease.Fence{Number: f.GetNumber(), Life: lease.Life{VM: f.GetVm(), Boot: f.GetBoot()}}}, true
--- a/relay/control/host.go
+++ b/relay/control/host.go
@@ -29,6 +29,8 @@
 	Boot      uint64
 	// Ledger is the newest number of applied ledger commands that this VM has heard of.
 	Ledger uint64
+	// Listed is the time up to which the leader's board is known to show the platform's list.
+	Listed time.Duration
 
 	registry time.Time
 	known    bool
@@ -53,6 +55,8 @@
 	answers map[uint64]chan Result
 	observe func(Notice)
 	changed func(*catalogue.Catalogue)
+	roster  func(*peer.Roster)
+	board   func(*peer.Board)
 	log     log.Interface
 	failed  chan error
 	done    chan struct{}
@@ -70,6 +74,12 @@
 	return func(h *Host) { h.changed = changed }
 }
 
+// WithRoster sets who is told which VMs there are.
+func WithRoster(roster func(*peer.Roster)) HostOption { return func(h *Host) { h.roster = roster } }
+
+// WithBoard sets who is told of the upstreams that the leader knows.
+func WithBoard(board func(*peer.Board)) HostOption { return func(h *Host) { h.board = board } }
+
 // WithLog sets the log.
 func WithLog(logger log.Interface) HostOption { return func(h *Host) { h.log = logger } }
 
@@ -77,7 +87,7 @@
 func NewHost(node *Node, options ...HostOption) *Host {
 	h := &Host{
 		node: node, started: time.Now(), inbox: make(chan func(Moment) (Effects, error), inboxSize),
-		answers: map[uint64]chan Result{}, observe: func(Notice) {}, changed: func(*catalogue.Catalogue) {}, log: log.Log,
+		answers: map[uint64]chan Result{}, observe: func(Notice) {}, changed: func(*catalogue.Catalogue) {}, roster: func(*peer.Roster) {}, board: func(*peer.Board) {}, log: log.Log,
 		failed: make(chan error, 1), done: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -151,6 +161,12 @@
 	} else if v := h.view.Load(); *v != *h.look(v.Catalogue) {
 		h.view.Store(h.look(v.Catalogue))
 	}
+	if effects.Roster != nil {
+		h.roster(effects.Roster)
+	}
+	if effects.Board != nil {
+		h.board(effects.Board)
+	}
 	for _, out := range effects.Send {
 		h.mesh.Send(out.To, out.Body)
 	}
@@ -184,6 +200,7 @@
 	registry := h.node.Registry(0)
 	return &View{
 		Catalogue: c, Until: h.node.LeasedUntil(), Leader: h.node.Leader(), Boot: h.node.boot, Ledger: h.node.Ledger(),
+		Listed:   h.node.listed,
 		registry: registry, known: !registry.IsZero(),
 	}
 }
@@ -248,6 +265,11 @@
 	}
 }
 
+// Publish makes a board the one that lease holders are told, if this VM leads; listed is when the platform's list was read.
+func (h *Host) Publish(board *peer.Board, listed time.Duration) {
+	h.push(func(at Moment) (Effects, error) { return h.node.Publish(at, board, listed) })
+}
+
 // Shutdown gives up lease and leadership.
 func (h *Host) Shutdown() {
 	h.push(func(at Moment) (Effects, error) { return h.node.Shutdown(at) })
--- a/relay/control/leader.go
+++ b/relay/control/leader.go
@@ -62,11 +62,18 @@
 	if !pending {
 		return
 	}
-	for _, life := range v.granter.Waiting(n.at.Now, version) {
-		// The base is unknown here, so the whole change since the version in force is sent; every holder has that one.
-		update := v.machine.Configuration().Update(v.machine.Configuration().InForce())
-		n.send(life.VM, &peer.Envelope{Body: &peer.Envelope_LeaseGrant{LeaseGrant: &peer.LeaseGrant{
-			Vm: life.VM, Boot: life.Boot, Newest: version, Update: update.Marshal(), Pushed: true,
+	updates := map[uint64][]byte{}
+	for _, held := range v.granter.Held(n.at.Now) {
+		if held.Installed >= version {
+			continue
+		}
+		update, ok := updates[held.Installed]
+		if !ok {
+			update = v.machine.Configuration().Update(held.Installed).Marshal()
+			updates[held.Installed] = update
+		}
+		n.send(held.VM, &peer.Envelope{Body: &peer.Envelope_LeaseGrant{LeaseGrant: &peer.LeaseGrant{
+			Vm: held.VM, Boot: held.Boot, Newest: version, Update: update, Pushed: true,
 		}}})
 	}
 }
@@ -92,8 +99,12 @@
 // declare proposes that a pending version is in force once no VM can act on the one before.
 func (n *Node) declare() error {
 	v := n.voter
-	version, pending := v.machine.Configuration().PendingVersion()
-	if !pending || !v.granter.MayDeclare(n.at.Now, version) {
+	newest, pending := v.machine.Configuration().PendingVersion()
+	if !pending {
+		return nil
+	}
+	version := v.granter.Settled(n.at.Now, newest)
+	if version <= v.machine.Configuration().InForce() {
 		return nil
 	}
 	if v.declaring != version {
@@ -138,6 +149,7 @@
 	life := lease.Life{VM: request.VM, Boot: request.Boot}
 	v.confirm()
 	v.granter.Acknowledge(life, request.Installed)
+	v.places[request.VM] = place{centre: m.GetCentre(), callers: m.GetCallers()}
 	newest := v.machine.Configuration().Newest()
 	reply := v.granter.Grant(n.at.Now, request, newest)
 	grant := &peer.LeaseGrant{
@@ -154,6 +166,15 @@
 	case lease.Outdated:
 		grant.Update = v.machine.Configuration().Update(request.Installed).Marshal()
 	}
+	if reply.Reason == lease.Granted {
+		if roster := v.roster(n.at.Now); roster.GetChecksum() != m.GetRoster() {
+			grant.Roster = roster
+		}
+		if v.board.GetChecksum() != m.GetBoard() {
+			grant.Board = v.board
+		}
+		grant.Aged = uint32((n.at.Now - v.listed).Milliseconds())
+	}
 	n.send(from, &peer.Envelope{Body: &peer.Envelope_LeaseGrant{LeaseGrant: grant}})
 }
 
--- a/relay/control/lease.go
+++ b/relay/control/lease.go
@@ -27,6 +27,7 @@
 	r := n.holder.Request(n.at.Now, n.config.Version())
 	n.send(to, &peer.Envelope{Body: &peer.Envelope_LeaseRequest{LeaseRequest: &peer.LeaseRequest{
 		Vm: r.VM, Boot: r.Boot, Installed: r.Installed, Sent: int64(r.Sent),
+		Centre: n.place.centre, Callers: n.place.callers, Roster: n.roster.GetChecksum(), Board: n.board.GetChecksum(),
 	}}})
 }
 
@@ -37,7 +38,8 @@
 		}
 	}
 	if m.GetPushed() {
-		if n.config.Version() >= m.GetNewest() {
+		n.learnBoard(m)
+		if len(m.GetUpdate()) > 0 && n.config.Version() >= m.GetNewest() {
 			n.request(from)
 		}
 		return nil
@@ -54,6 +56,8 @@
 	switch reply.Reason {
 	case lease.Granted:
 		n.leader = from
+		n.learnRoster(m.GetRoster())
+		n.learnBoard(m)
 	case lease.NotLeader:
 		n.redirect(from, m.GetLeader())
 		if n.leader != "" && n.leader != from {
--- a/relay/control/machine.go
+++ b/relay/control/machine.go
@@ -11,10 +11,10 @@
 )
 
 // NewMachine returns the replicated state machine with the relay's checks; all control VMs must run the same release.
-func NewMachine() *registry.Machine {
+func NewMachine(options ...configuration.Option) *registry.Machine {
 	var machine *registry.Machine
 	machine = registry.New(
-		registry.WithConfiguration(configuration.WithCheck(checkChange)),
+		registry.WithConfiguration(append([]configuration.Option{configuration.WithCheck(checkChange)}, options...)...),
 		registry.WithCheckClaim(func(objects configuration.Objects, claim ledger.Claim) error {
 			return checkClaim(machine.Configuration().Newest(), objects, claim)
 		}),
@@ -27,6 +27,10 @@
 	if change.Remove {
 		return checkRemoval(objects, change.Object)
 	}
+	if change.Object.Kind == catalogue.KindDesired || change.Object.Kind == catalogue.KindWeights {
+		// The VM that took the command has checked the document; its bytes are kept as they came.
+		return nil
+	}
 	_, err := catalogue.Decode(catalogue.Object{Kind: change.Object.Kind, Name: change.Object.Name, Value: change.Object.Value})
 	return err
 }
--- a/relay/control/node.go
+++ b/relay/control/node.go
@@ -48,12 +48,22 @@
 	Answers   []Answer
 	Notices   []Notice
 	Installed bool
+	// Roster is set when the leader told of other VMs than before.
+	Roster *peer.Roster
+	// Board is set when the leader told of other upstreams than before.
+	Board *peer.Board
 }
 
 // Node is the control state of one VM.
 type Node struct {
-	name       string
-	controls   []string
+	name     string
+	seeds    []string
+	controls []string
+	place    place
+	roster   *peer.Roster
+	board    *peer.Board
+	// listed is when the leader read the platform's list that the board came from, at most.
+	listed     time.Duration
 	neighbours []string
 	timing     lease.Timing
 	boot       uint64
@@ -84,8 +94,15 @@
 // Option configures a Node.
 type Option func(*Node)
 
-// WithControls names the control VMs.
-func WithControls(names []string) Option { return func(n *Node) { n.controls = names } }
+// WithControls names the control VMs that are known at the start.
+func WithControls(names []string) Option {
+	return func(n *Node) { n.seeds, n.controls = names, names }
+}
+
+// WithPlace sets the VM's data centre and whether it serves callers.
+func WithPlace(centre string, callers bool) Option {
+	return func(n *Node) { n.place = place{centre, callers} }
+}
 
 // WithNeighbours names the VMs of the same data centre that are asked for their configuration.
 func WithNeighbours(names []string) Option { return func(n *Node) { n.neighbours = names } }
--- a/relay/control/open.go
+++ b/relay/control/open.go
@@ -16,6 +16,13 @@
 // heartbeatShare is the number of the log's heartbeats that fit into the shortest election timeout.
 const heartbeatShare = 5
 
+// maxEntry bounds a command: a whole desired state is as large as the largest body that operators may send. maxPending bounds
+// what waits to be committed, in bytes.
+const (
+	maxEntry   = 5 << 20
+	maxPending = 24 << 20
+)
+
 // Folder is what a control VM needs to open its data folder.
 type Folder struct {
 	Name string
@@ -27,6 +34,14 @@
 	Election time.Duration
 	Timing   lease.Timing
 	Transit  time.Duration
+	// Repair is how long a voter must be silent before a VM that waits takes its place; 0 means the default.
+	Repair time.Duration
+	// Voters is the number of voters that the group grows to; 0 means that only VMs of the founding names are admitted.
+	Voters int
+	// Compaction is the number of log entries after which a snapshot is taken; 0 means the default.
+	Compaction uint64
+	// History is the number of versions kept for deltas; 0 means the default.
+	History int
 	// Founding is the first configuration; a leader that finds none proposes it.
 	Founding *configuration.Command
 }
@@ -42,11 +57,23 @@
 	if err != nil {
 		return nil, false, err
 	}
-	core := quorum.New(
+	options := []quorum.Option{
 		quorum.WithIdentity(stored.Identity), quorum.WithCluster(clusterName), quorum.WithState(stored.State), quorum.WithPeers(f.Controls),
 		quorum.WithTimeouts(f.Election/heartbeatShare, f.Election), quorum.WithRandom(rand.New(rand.NewPCG(f.Random(), f.Random()))),
-	)
-	machine := NewMachine()
+		quorum.WithVoters(f.Voters), quorum.WithLimits(maxEntry, maxPending),
+	}
+	if f.Repair > 0 {
+		options = append(options, quorum.WithRepairAfter(f.Repair))
+	}
+	if f.Compaction > 0 {
+		options = append(options, quorum.WithCompaction(f.Compaction, f.Compaction/4))
+	}
+	core := quorum.New(options...)
+	var history []configuration.Option
+	if f.History > 0 {
+		history = append(history, configuration.WithHistory(f.History))
+	}
+	machine := NewMachine(history...)
 	if data := stored.State.Snapshot.Data; len(data) > 0 {
 		if err := machine.Restore(data); err != nil {
 			return nil, false, err
--- /dev/null
+++ b/relay/control/roster.go
@@ -0,0 +1,65 @@
+package control
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+)
+
+// place is where a VM stands and whether it serves callers.
+type place struct {
+	centre  string
+	callers bool
+}
+
+// roster lists the members of the replicated log and the VMs that hold a lease, in order.
+func (v *Voter) roster(now time.Duration) *peer.Roster {
+	roster := &peer.Roster{}
+	for _, member := range v.core.Members() {
+		if !slices.Contains(roster.Controls, member.Name) {
+			roster.Controls = append(roster.Controls, member.Name)
+		}
+	}
+	for _, held := range v.granter.Held(now) {
+		at := v.places[held.VM]
+		if last := len(roster.Vms) - 1; last >= 0 && roster.Vms[last].Name == held.VM {
+			continue
+		}
+		roster.Vms = append(roster.Vms, &peer.RosterVM{Name: held.VM, Centre: at.centre, Callers: at.callers})
+	}
+	// The messages have no map fields, so equal rosters have equal bytes.
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(roster)
+	if err != nil {
+		panic("control: " + err.Error())
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write(data)
+	roster.Checksum = hash.Sum64()
+	return roster
+}
+
+// learnRoster takes the leader's word on which VMs there are. The control VMs of the settings stay known: they are the way
+// back when every VM of the roster is gone.
+func (n *Node) learnRoster(roster *peer.Roster) {
+	if roster == nil || roster.GetChecksum() == n.roster.GetChecksum() {
+		return
+	}
+	n.roster = roster
+	n.controls = slices.Clone(n.seeds)
+	for _, name := range roster.GetControls() {
+		if !slices.Contains(n.controls, name) {
+			n.controls = append(n.controls, name)
+		}
+	}
+	n.effects.Roster = roster
+}
+
+// Controls returns the control VMs that this VM knows.
+func (n *Node) Controls() []string { return slices.Clone(n.controls) }
+
+// Roster returns the VMs of the system as the leader last told; nil before the first lease.
+func (n *Node) Roster() *peer.Roster { return n.roster }
--- a/relay/control/voter.go
+++ b/relay/control/voter.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/coord/configuration"
@@ -30,14 +31,18 @@
 	leads     bool
 	applied   uint64
 	proposals map[uint64]proposal
-	changes   map[string][]origin
+	changes   []waiter
 	// declared is when the pending version declaring was proposed to be in force last.
 	declared  time.Duration
 	declaring uint64
 	founded   time.Duration
 	taking    time.Duration
 	lost      map[lease.Life]bool
-	pushed    time.Duration
+	places    map[string]place
+	board     *peer.Board
+	// listed is when this VM last read the platform's list.
+	listed time.Duration
+	pushed time.Duration
 }
 
 // origin is the VM that waits for a reply.
@@ -52,17 +57,26 @@
 	origin
 }
 
+// waiter is a VM that waits for a committed change to be in force.
+type waiter struct {
+	origin
+	outcome configuration.Outcome
+}
+
 // newVoter returns a control VM's part; save must be durable when it returns, and its error ends the process.
 func newVoter(core *quorum.Core, machine *registry.Machine, save func(quorum.Save) error) *Voter {
 	return &Voter{
 		core: core, machine: machine, save: save,
-		proposals: map[uint64]proposal{}, changes: map[string][]origin{}, lost: map[lease.Life]bool{},
+		proposals: map[uint64]proposal{}, lost: map[lease.Life]bool{}, places: map[string]place{},
 	}
 }
 
 // Machine returns the replicated state for reading.
 func (v *Voter) Machine() *registry.Machine { return v.machine }
 
+// Leads reports whether this VM leads and has applied every committed entry of earlier leaders.
+func (v *Voter) Leads() bool { return v.leads && v.granter.Leads() }
+
 // Core returns the replicated log's core for reading.
 func (v *Voter) Core() *quorum.Core { return v.core }
 
@@ -135,7 +149,7 @@
 	v.orders.Drop()
 	n.notice("follower", fmt.Sprintf("term %d", v.core.Term()))
 	// The commands may still be committed; the VMs send them again and get the one outcome.
-	v.proposals, v.changes = map[uint64]proposal{}, map[string][]origin{}
+	v.proposals, v.changes = map[uint64]proposal{}, nil
 }
 
 func (n *Node) apply(entry quorum.Entry) {
@@ -174,7 +188,7 @@
 	v := n.voter
 	if outcome.Status == configuration.Committed {
 		if waited && p.vm != "" {
-			v.changes[outcome.ID] = append(v.changes[outcome.ID], p.origin)
+			v.changes = append(v.changes, waiter{origin: p.origin, outcome: outcome})
 		}
 		n.push()
 		return
@@ -183,13 +197,24 @@
 		n.reply(p.origin, registry.Reply{Change: &outcome})
 	}
 	if outcome.Status == configuration.Accepted {
-		for _, o := range v.changes[outcome.ID] {
-			n.reply(o, registry.Reply{Change: &outcome})
-		}
-		delete(v.changes, outcome.ID)
+		n.answerWaiters()
 	}
 }
 
+// answerWaiters tells the VMs whose changes are in force by now.
+func (n *Node) answerWaiters() {
+	v := n.voter
+	inForce := v.machine.Configuration().InForce()
+	v.changes = slices.DeleteFunc(v.changes, func(w waiter) bool {
+		if w.outcome.Version > inForce {
+			return false
+		}
+		w.outcome.Status = configuration.Accepted
+		n.reply(w.origin, registry.Reply{Change: &w.outcome})
+		return true
+	})
+}
+
 func (n *Node) reply(to origin, reply registry.Reply) {
 	n.send(to.vm, &peer.Envelope{Body: &peer.Envelope_Submitted{Submitted: encodeResult(to.id, to.boot, reply)}})
 }
@@ -203,7 +228,8 @@
 		n.notice("quorum message refused", from+": "+err.Error())
 		return nil
 	}
-	if m.From.Name != from {
+	// An announcement may be passed on by another member.
+	if m.From.Name != from && m.Kind != quorum.Join {
 		n.notice("quorum message refused", fmt.Sprintf("%s sent it in the name of %s", from, m.From.Name))
 		return nil
 	}
@@ -231,7 +257,7 @@
 func (n *Node) early(message *wire.RegistryCommand) bool {
 	change := message.GetPropose()
 	version, pending := n.voter.machine.Configuration().PendingVersion()
-	return n.voter.leads && change != nil && pending && change.GetExpected() == version
+	return n.voter.leads && change != nil && !change.GetNumbered() && pending && change.GetExpected() == version
 }
 
 func (n *Node) propose(command []byte, to origin) error {
--- /dev/null
+++ b/relay/directory/board.go
@@ -0,0 +1,68 @@
+package directory
+
+import (
+	"cmp"
+	"hash/fnv"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+)
+
+// Board returns the message that tells the upstreams to other VMs; equal sets have equal checksums.
+func Board(upstreams []Upstream) *peer.Board {
+	board := &peer.Board{}
+	for i := range upstreams {
+		u := &upstreams[i]
+		entry := &peer.BoardUpstream{
+			Id: u.ID, Service: u.Service, Address: u.Address.String(), Centre: u.Centre, Slots: uint32(u.Slots), Leaving: u.Leaving,
+			Cold: uint32(u.Cold / coldStep * coldStep / time.Millisecond), Loading: u.Loading,
+		}
+		if !u.Born.IsZero() {
+			entry.Born = u.Born.UnixMilli()
+		}
+		for _, m := range u.Models {
+			entry.Models = append(entry.Models, &peer.BoardModel{Name: m.Name, Weights: m.Weights})
+		}
+		board.Upstreams = append(board.Upstreams, entry)
+	}
+	// The message has no map fields, so equal boards have equal bytes.
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(board)
+	if err != nil {
+		panic("directory: " + err.Error())
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write(data)
+	board.Checksum = hash.Sum64()
+	return board
+}
+
+// coldStep rounds the time that an upstream remains slow, so that a board does not change with every reading.
+const coldStep = 500 * time.Millisecond
+
+// FromBoard reads another VM's word; entries that can't be read are left out.
+func FromBoard(board *peer.Board) []Upstream {
+	upstreams := make([]Upstream, 0, len(board.GetUpstreams()))
+	for _, entry := range board.GetUpstreams() {
+		address, err := netip.ParseAddrPort(entry.GetAddress())
+		if err != nil || entry.GetId() == "" {
+			continue
+		}
+		u := Upstream{
+			ID: entry.GetId(), Service: entry.GetService(), Address: address, Centre: entry.GetCentre(), Slots: int(entry.GetSlots()),
+			Leaving: entry.GetLeaving(), Cold: time.Duration(entry.GetCold()) * time.Millisecond, Loading: entry.GetLoading(),
+		}
+		if entry.GetBorn() > 0 {
+			u.Born = time.UnixMilli(entry.GetBorn())
+		}
+		for _, m := range entry.GetModels() {
+			u.Models = append(u.Models, Model{Name: m.GetName(), Weights: m.GetWeights()})
+		}
+		upstreams = append(upstreams, u)
+	}
+	slices.SortFunc(upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return upstreams
+}
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -69,7 +69,7 @@
 func (t *Ticket) Finish(incarnation uint64, counts upstream.Counts) {
 	t.dispatcher.tell(routing.Finished{
 		ID: t.id, Upstream: t.Upstream.Name, Incarnation: incarnation,
-		PromptTokens: counts.Prompt, CachedTokens: counts.Cached, AnswerTokens: counts.Answer,
+		PromptTokens: counts.Prompt, CachedTokens: counts.Cached, AnswerTokens: counts.Answer, Uncounted: counts.Unknown,
 	})
 }
 
--- /dev/null
+++ b/relay/forward/forwarder.go
@@ -0,0 +1,141 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/prompt"
+	"github.com/chicoryrelay/chicoryrelay/relay/route"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// writeTime limits one write to a caller that does not read.
+	writeTime = 5 * time.Second
+	// firstReturn is the time to come back for a VM that has no desired state yet.
+	firstReturn = 300 * time.Millisecond
+	// defaultWait is the time limit of a request whose caller names none and whose route has been taken away meanwhile.
+	defaultWait = 30 * time.Second
+)
+
+// Forwarder serves callers by the routes of the desired state.
+type Forwarder struct {
+	table    func() *route.Table
+	dialect  Dialect
+	pool     *connection.Pool
+	place    Place
+	budget   *Budget
+	log      log.Interface
+	now      func() time.Time
+	draw     func() float64
+	stopping atomic.Bool
+	active   atomic.Int64
+	measure  func(Measure)
+}
+
+// Measure is what the metrics learn of one ended request.
+type Measure struct {
+	Route string
+	// Status is the answer's status, or 0 if the connection ended without one.
+	Status int
+	// First is the time until the answer began, Total until it ended.
+	First, Total time.Duration
+	Sends        int
+	Refusal      outcome.Kind
+}
+
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithTable sets where the routes are read; the table is nil until the VM knows a desired state.
+func WithTable(table func() *route.Table) Option { return func(f *Forwarder) { f.table = table } }
+
+// WithDialect sets how callers and upstreams declare what they mean.
+func WithDialect(d Dialect) Option { return func(f *Forwarder) { f.dialect = d } }
+
+// WithPool sets the connections to upstreams.
+func WithPool(p *connection.Pool) Option { return func(f *Forwarder) { f.pool = p } }
+
+// WithPlace sets who decides where requests run.
+func WithPlace(place Place) Option { return func(f *Forwarder) { f.place = place } }
+
+// WithBudget sets the budget of repeated sends.
+func WithBudget(b *Budget) Option { return func(f *Forwarder) { f.budget = b } }
+
+// WithLog sets the log.
+func WithLog(logger log.Interface) Option { return func(f *Forwarder) { f.log = logger } }
+
+// WithMeasure sets where ended requests are counted.
+func WithMeasure(measure func(Measure)) Option { return func(f *Forwarder) { f.measure = measure } }
+
+// New returns a forwarder; table, dialect, pool and place must be given.
+func New(options ...Option) *Forwarder {
+	f := &Forwarder{log: log.Log, now: time.Now, draw: rand.Float64, budget: NewBudget(), measure: func(Measure) {}}
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
+
+// Stop makes each further answer the last one of its connection.
+func (f *Forwarder) Stop() { f.stopping.Store(true) }
+
+// Active returns the number of requests in progress.
+func (f *Forwarder) Active() int64 { return f.active.Load() }
+
+// ServeHTTP serves one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	s := &session{f: f, w: w, r: r, arrived: f.now()}
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.run()
+}
+
+// forwardHeader returns the header that goes on to an upstream or a caller: all but what concerns one connection.
+func forwardHeader(h http.Header) http.Header {
+	out := make(http.Header, len(h)+8)
+	for name, values := range h {
+		out[name] = values
+	}
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(out, name)
+	}
+	delete(out, "Content-Length")
+	return out
+}
+
+// levels returns the nested prefixes that a request's parts make, with tokens counted from the start of the prompt.
+func levels(scope string, parts []Part) []prompt.Level {
+	out := make([]prompt.Level, 0, len(parts))
+	hash, tokens := xxhash.Sum64String(scope), 0
+	for _, part := range parts {
+		tokens += part.Tokens
+		hash = hash*0x9e3779b97f4a7c15 ^ xxhash.Sum64String(part.ID)
+		out = append(out, prompt.Level{Hash: hash, Tokens: tokens})
+	}
+	return out
+}
+
+// returnAfter writes the time to come back in seconds.
+func returnAfter(h http.Header, wait time.Duration) {
+	if wait > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+}
--- a/relay/order/core.go
+++ b/relay/order/core.go
@@ -70,6 +70,9 @@
 		return
 	}
 	c.version = m.Version
+	if m.Loads > 0 {
+		c.loads = m.Loads
+	}
 	for _, e := range c.engines {
 		e.present = false
 	}
--- a/relay/order/message.go
+++ b/relay/order/message.go
@@ -14,7 +14,9 @@
 
 // Desired replaces the desired state by the upstreams of a configuration that is in force.
 type Desired struct {
-	Version   uint64
+	Version uint64
+	// Loads is the number of engines that may load at once; 0 leaves it as it is.
+	Loads     int
 	Upstreams []catalogue.Upstream
 }
 
@@ -39,6 +41,8 @@
 	Loading bool
 	// Leaving says that the engine takes no new requests.
 	Leaving bool
+	// Sequence is the number of orders that the engine has accepted, if it counts them.
+	Sequence uint64
 }
 
 // Result says what became of an order.
@@ -94,6 +98,8 @@
 	Version Version
 	// Role is the role that a role order sets.
 	Role string
+	// Sequence is the number of orders that the engine had accepted when it last reported.
+	Sequence uint64
 	// Until is the time after which no byte of the order may leave.
 	Until time.Duration
 }
--- a/relay/order/plan.go
+++ b/relay/order/plan.go
@@ -51,6 +51,7 @@
 func (c *Core) send(now time.Duration, effects *Effects, e *engine, o Order) {
 	c.ids++
 	o.ID, o.Upstream, o.Address, o.Number, o.Until = c.ids, e.name, e.want.Address, c.lease.Number, now+c.window
+	o.Sequence = e.last.Sequence
 	e.sent = &o
 	e.after = o.Until + longer(c.transit)
 	e.earliest = now + c.retry<<min(e.tries, mostDoublings)
--- a/relay/peer/link.go
+++ b/relay/peer/link.go
@@ -22,6 +22,8 @@
 	name     string
 	queue    chan *Envelope
 	dialling bool
+	// stop ends the dialling.
+	stop func()
 
 	mu sync.Mutex
 	// sessions are oldest first; those that have ended are taken out when the link is used next.
--- a/relay/peer/mesh.go
+++ b/relay/peer/mesh.go
@@ -124,7 +124,19 @@
 		return
 	}
 	l.dialling = true
-	m.group.Go(func() { m.dial(l, address) })
+	ctx, cancel := context.WithCancel(m.ctx)
+	l.stop = cancel
+	m.group.Go(func() { m.dial(ctx, l, address) })
+}
+
+// Disconnect stops dialling a VM that has left the system; a session that is open ends by itself.
+func (m *Mesh) Disconnect(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l, ok := m.links[name]; ok && l.dialling {
+		l.dialling = false
+		l.stop()
+	}
 }
 
 // Send queues a message; it is dropped if there is no session or the queue is full.
@@ -173,34 +185,34 @@
 	return l
 }
 
-func (m *Mesh) dial(l *link, address netip.AddrPort) {
+func (m *Mesh) dial(ctx context.Context, l *link, address netip.AddrPort) {
 	backoff := m.heartbeat / 4
-	for m.ctx.Err() == nil {
+	for ctx.Err() == nil {
 		if l.current() != nil {
-			if !m.wait(m.heartbeat) {
+			if !wait(ctx, m.heartbeat) {
 				return
 			}
 			continue
 		}
 		dialer := net.Dialer{Timeout: m.silence}
-		conn, err := dialer.DialContext(m.ctx, "tcp", address.String())
+		conn, err := dialer.DialContext(ctx, "tcp", address.String())
 		if err == nil {
 			backoff = m.heartbeat / 4
 			m.open(conn, l.name)
 		}
 		// Full jitter keeps the dials of a herd of restarting VMs apart.
-		if !m.wait(time.Duration(rand.Int64N(int64(backoff)) + 1)) {
+		if !wait(ctx, time.Duration(rand.Int64N(int64(backoff))+1)) {
 			return
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-func (m *Mesh) wait(d time.Duration) bool {
+func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-m.ctx.Done():
+	case <-ctx.Done():
 		return false
 	case <-timer.C:
 		return true
--- /dev/null
+++ b/relay/route/codec.go
@@ -0,0 +1,126 @@
+package route
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Codec reads a document of the desired state; the error is an *Invalid.
+type Codec struct {
+	// Decode returns the checked state of a document.
+	Decode func(document []byte) (*State, error)
+}
+
+// Own is the codec of the product's own format.
+var Own = Codec{Decode: decodeOwn}
+
+// span is a duration as text with its unit.
+type span time.Duration
+
+func (s *span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	*s = span(d)
+	return err
+}
+
+type document struct {
+	Version uint64 `json:"version"`
+	Routes  []struct {
+		Name      string         `json:"name"`
+		Host      string         `json:"host"`
+		Prefix    string         `json:"prefix"`
+		Kind      Kind           `json:"kind"`
+		Timeout   span           `json:"timeout"`
+		Target    span           `json:"target"`
+		Pause     span           `json:"pause"`
+		Priority  int            `json:"priority"`
+		Split     map[string]int `json:"split"`
+		Attempts  int            `json:"attempts"`
+		Public    bool           `json:"public"`
+		Sticky    bool           `json:"sticky"`
+		Resumable bool           `json:"resumable"`
+	} `json:"routes"`
+	Services []struct {
+		Name        string  `json:"name"`
+		Health      string  `json:"health"`
+		Connections int     `json:"connections"`
+		Engine      *engine `json:"engine"`
+		Store       *store  `json:"store"`
+	} `json:"services"`
+	Limits struct {
+		Headers int  `json:"headers"`
+		Body    int  `json:"body"`
+		Header  span `json:"header"`
+		Idle    span `json:"idle"`
+	} `json:"limits"`
+	Accounts []struct {
+		Name     string   `json:"name"`
+		Keys     []string `json:"keys"`
+		Priority *int     `json:"priority"`
+		Isolated bool     `json:"isolated"`
+	} `json:"accounts"`
+}
+
+type engine struct {
+	Slots    int      `json:"slots"`
+	Memory   int      `json:"memory"`
+	Token    int      `json:"token"`
+	Link     float64  `json:"link"`
+	Moves    bool     `json:"moves"`
+	Backups  bool     `json:"backups"`
+	Watchers int      `json:"watchers"`
+	Pin      span     `json:"pin"`
+	Hold     span     `json:"hold"`
+	Handle   span     `json:"handle"`
+	Models   []string `json:"models"`
+}
+
+type store struct {
+	Address  netip.AddrPort `json:"address"`
+	Centre   string         `json:"centre"`
+	Memory   int            `json:"memory"`
+	Link     float64        `json:"link"`
+	Watchers int            `json:"watchers"`
+}
+
+func decodeOwn(data []byte) (*State, error) {
+	var d document
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&d); err != nil {
+		return nil, &Invalid{Field: "document", Remedy: "send a JSON document as docs/operate/routes.md describes it: " + err.Error()}
+	}
+	s := &State{Number: d.Version, Limits: Limits{Headers: d.Limits.Headers, Body: d.Limits.Body, Header: time.Duration(d.Limits.Header), Idle: time.Duration(d.Limits.Idle)}}
+	for _, r := range d.Routes {
+		out := Route{
+			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind, Timeout: time.Duration(r.Timeout), Target: time.Duration(r.Target),
+			Pause: time.Duration(r.Pause), Priority: r.Priority, Attempts: r.Attempts, Public: r.Public, Sticky: r.Sticky, Resumable: r.Resumable,
+		}
+		for service, weight := range r.Split {
+			out.Split = append(out.Split, Share{service, weight})
+		}
+		slices.SortFunc(out.Split, func(a, b Share) int { return strings.Compare(a.Service, b.Service) })
+		s.Routes = append(s.Routes, out)
+	}
+	for _, v := range d.Services {
+		out := Service{Name: v.Name, Health: v.Health, Connections: v.Connections}
+		if e := v.Engine; e != nil {
+			out.Engine = &Engine{
+				Slots: e.Slots, Memory: e.Memory, TokenBytes: e.Token, LinkMbps: e.Link, Moves: e.Moves, Backups: e.Backups, Watchers: e.Watchers,
+				Pin: time.Duration(e.Pin), Hold: time.Duration(e.Hold), Handle: time.Duration(e.Handle), Models: e.Models,
+			}
+		}
+		if st := v.Store; st != nil {
+			out.Store = &Store{Address: st.Address, Centre: st.Centre, Memory: st.Memory, LinkMbps: st.Link, Watchers: st.Watchers}
+		}
+		s.Services = append(s.Services, out)
+	}
+	for _, a := range d.Accounts {
+		s.Accounts = append(s.Accounts, Account{Name: a.Name, Keys: a.Keys, Priority: a.Priority, Isolated: a.Isolated})
+	}
+	return s, s.Check()
+}
--- /dev/null
+++ b/relay/route/table.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"crypto/sha256"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table answers which route, service and account a request belongs to; it is immutable.
+type Table struct {
+	State    *State
+	hosts    map[string][]*Route
+	services map[string]*Service
+	accounts map[[sha256.Size]byte]*Account
+}
+
+// NewTable indexes a checked state.
+func NewTable(s *State) *Table {
+	t := &Table{
+		State: s, hosts: map[string][]*Route{}, services: make(map[string]*Service, len(s.Services)),
+		accounts: map[[sha256.Size]byte]*Account{},
+	}
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range s.Services {
+		t.services[s.Services[i].Name] = &s.Services[i]
+	}
+	for i := range s.Accounts {
+		for _, key := range s.Accounts[i].Keys {
+			t.accounts[sha256.Sum256([]byte(key))] = &s.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route of the host with the longest prefix that begins the path, or nil.
+func (t *Table) Route(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Account returns the account that a key belongs to, or nil; the lookup by digest takes the same time whatever the key shares
+// with a valid one.
+func (t *Table) Account(key string) *Account { return t.accounts[sha256.Sum256([]byte(key))] }
+
+// Keyed reports whether requests need a key.
+func (t *Table) Keyed() bool { return t.State.Accounts != nil }
+
+// Choose returns the service for a request; the draw is in [0, 1) and spreads requests by the weights.
+func (r *Route) Choose(draw float64) string {
+	sum := 0
+	for _, share := range r.Split {
+		sum += share.Weight
+	}
+	at := int(draw * float64(sum))
+	for _, share := range r.Split {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- a/relay/routing/flight.go
+++ b/relay/routing/flight.go
@@ -168,6 +168,9 @@
 	if a == nil {
 		return
 	}
+	if m.Uncounted {
+		m.CachedTokens = max(0, m.PromptTokens-a.uncached)
+	}
 	u := a.up
 	u.failures = 0
 	current := u.handle >= 0 && c.cache.Observe(u.handle, m.Incarnation)
--- a/relay/routing/messages.go
+++ b/relay/routing/messages.go
@@ -39,6 +39,8 @@
 	PromptTokens int
 	CachedTokens int
 	AnswerTokens int
+	// Uncounted says that the engine does not tell its counts; what was believed to be cached then stands.
+	Uncounted bool
 }
 
 // Failed says that an attempt broke; Received says that a byte of the answer had arrived, Sent that a byte of the request may have left.
--- a/relay/settings/clash.go
+++ b/relay/settings/clash.go
@@ -48,6 +48,14 @@
 		field   string
 		address netip.AddrPort
 	}{{"listeners.callers", l.Callers}, {"listeners.operators", l.Operators}, {"listeners.peers", l.Peers}}
+	for _, optional := range []struct {
+		field   string
+		address netip.AddrPort
+	}{{"listeners.ready", l.Ready}, {"listeners.requests", l.Requests}, {"listeners.metrics", l.Metrics}} {
+		if optional.address.IsValid() {
+			listeners = append(listeners, optional)
+		}
+	}
 	for i, second := range listeners {
 		for _, first := range listeners[:i] {
 			if overlap(first.address, second.address) {
@@ -61,7 +69,7 @@
 
 // overlap says whether two listeners can't both be opened.
 func overlap(a, b netip.AddrPort) bool {
-	return a.Port() == b.Port() && (a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified())
+	return a.IsValid() && b.IsValid() && a.Port() == b.Port() && (a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified())
 }
 
 func (r *reader) clashingPeers() error {
@@ -118,6 +126,12 @@
 }
 
 func (r *reader) clashingData() error {
+	if r.settings.Discovered.Used() {
+		if len(r.settings.Control) > 0 || len(r.settings.Neighbours) > 0 {
+			return r.clash("seeds are given beside named VMs", "name VMs in control and neighbours, or give seeds", "discovered.seeds", "control", "neighbours")
+		}
+		return nil
+	}
 	named := false
 	for _, peer := range r.settings.Control {
 		named = named || peer.Name == r.settings.Name
--- a/relay/settings/fields.go
+++ b/relay/settings/fields.go
@@ -26,13 +26,21 @@
 	text("region", "The region of the data centre.", func(s *Settings) *string { return &s.Region }, checkName),
 	text("data", "The data folder; set it on VMs named in control and nowhere else.", func(s *Settings) *string { return &s.Data }, nil),
 	text("log", "The lowest level that is logged: debug, info, warn or error.", func(s *Settings) *string { return &s.Log }, oneOf("debug", "info", "warn", "error")),
-	address("listeners.callers", "IP address and port for callers.", false, func(s *Settings) *netip.AddrPort { return &s.Listeners.Callers }),
-	address("listeners.operators", "IP address and port for operators.", false, func(s *Settings) *netip.AddrPort { return &s.Listeners.Operators }),
+	address("listeners.callers", "IP address and port for callers; empty on a VM that serves none.", true, func(s *Settings) *netip.AddrPort { return &s.Listeners.Callers }),
+	address("listeners.operators", "IP address and port for operators; empty for none.", true, func(s *Settings) *netip.AddrPort { return &s.Listeners.Operators }),
 	address("listeners.peers", "IP address and port for other VMs.", false, func(s *Settings) *netip.AddrPort { return &s.Listeners.Peers }),
+	address("listeners.ready", "IP address and port of a listener for readiness alone; empty for none.", true, func(s *Settings) *netip.AddrPort { return &s.Listeners.Ready }),
+	address("listeners.requests", "IP address and port for operators' calls that replace the whole desired state; empty for none.", true, func(s *Settings) *netip.AddrPort { return &s.Listeners.Requests }),
+	address("listeners.metrics", "IP address and port for metrics as text; empty for none.", true, func(s *Settings) *netip.AddrPort { return &s.Listeners.Metrics }),
 	peers("control", `The VMs that hold the replicated log, each {"name": "vm1", "address": "10.0.0.1:7300"}, this VM too if it is one; at most 7.`, func(s *Settings) *[]Peer { return &s.Control }),
 	peers("neighbours", `The other VMs that this one shares its view with, at most 12: those of the data centre, and the rest while there are few. Each is {"name": "vm2", "address": "10.0.0.2:7300"}.`, func(s *Settings) *[]Peer { return &s.Neighbours }),
 	address("platform", "The platform's list of live and leaving VMs; empty for none.", true, func(s *Settings) *netip.AddrPort { return &s.Platform }),
 	address("store", "The store of saved KV cache; empty for none.", true, func(s *Settings) *netip.AddrPort { return &s.Store }),
+	addresses("discovered.seeds", "Addresses of control VMs as operators reach them; peers answer at the same IP on the port of listeners.peers. Empty where control names the VMs.", func(s *Settings) *[]netip.AddrPort { return &s.Discovered.Seeds }),
+	flag("discovered.first", "Whether the whole system starts for the first time, with empty data folders; seeds then found the replicated log.", func(s *Settings) *bool { return &s.Discovered.First }),
+	count("discovered.losses", "The number of data folders that may be lost at once; the replicated log gets twice as many voters and one more.", 0, 3, func(s *Settings) *int { return &s.Discovered.Losses }),
+	regions("discovered.centres", "The region of each data centre.", func(s *Settings) *map[string]string { return &s.Discovered.Centres }),
+	count("discovered.lists", "The number of calls per second that the platform's list accepts from all VMs together.", 1, 100000, func(s *Settings) *int { return &s.Discovered.Lists }),
 	text("routing.policy", "How upstreams are chosen: cost, or a baseline for measurements: robin, least or hash.", func(s *Settings) *string { return &s.Routing.Policy }, oneOf("cost", "robin", "least", "hash")),
 	text("routing.span", "How far away the homes of prefixes may stand: centre, region or everywhere; the same on all VMs. Wider spans recompute less and send more traffic over links.", func(s *Settings) *string { return &s.Routing.Span }, oneOf("centre", "region", "everywhere")),
 	span("routing.import", "How long the import of one token's KV cache takes; 0s turns imports off.", 0, func(s *Settings) *time.Duration { return &s.Routing.Import }),
@@ -48,10 +56,17 @@
 	span("times.balancer", "How long a VM goes on accepting after it reports itself unready; 0s for a VM without a load balancer.", 0, func(s *Settings) *time.Duration { return &s.Times.Balancer }),
 	span("times.claim", "How long a caller waits for the claim of a non-idempotent call.", time.Millisecond, func(s *Settings) *time.Duration { return &s.Times.Claim }),
 	span("times.write", "How long one write to a caller may take.", time.Millisecond, func(s *Settings) *time.Duration { return &s.Times.Write }),
+	span("times.stop", "The longest graceful shutdown.", time.Millisecond, func(s *Settings) *time.Duration { return &s.Times.Stop }),
+	span("times.orders", "How long after the last order of another VM a new holder may send its first one.", 0, func(s *Settings) *time.Duration { return &s.Times.Orders }),
+	span("times.weights", "The time within which engines must serve newly named weights.", time.Millisecond, func(s *Settings) *time.Duration { return &s.Times.Weights }),
+	span("times.repair", "How long a voter must be silent before another VM takes its place.", time.Millisecond, func(s *Settings) *time.Duration { return &s.Times.Repair }),
 	size("limits.body", "The largest request body.", 1<<10, 1<<30, func(s *Settings) int64 { return s.Limits.Body }, func(s *Settings, n int64) { s.Limits.Body = n }),
 	size("limits.headers", "The largest header block.", 1<<10, 1<<20, func(s *Settings) int64 { return int64(s.Limits.Headers) }, func(s *Settings, n int64) { s.Limits.Headers = int(n) }),
 	size("limits.answer", "The largest recorded answer of a non-idempotent call; it travels in the replicated log.", 1<<10, 1<<20, func(s *Settings) int64 { return s.Limits.Answer }, func(s *Settings, n int64) { s.Limits.Answer = n }),
 	count("limits.queue", "The number of requests that wait for an upstream at most.", 1, 1<<20, func(s *Settings) *int { return &s.Limits.Queue }),
+	ratio("limits.retries", "The number of repeated sends per request that all VMs together may make.", func(s *Settings) *float64 { return &s.Limits.Retries }),
+	ratio("limits.slack", "The number of repeated sends that all VMs together may make besides, in any ten seconds.", func(s *Settings) *float64 { return &s.Limits.Slack }),
+	count("limits.lines", "The number of log lines per second that the VM writes at most; what is dropped is counted.", 1, 1<<20, func(s *Settings) *int { return &s.Limits.Lines }),
 	count("limits.loads", "The number of engines that read from the weight store at once at most; the same on all VMs.", 1, 1<<16, func(s *Settings) *int { return &s.Limits.Loads }),
 }
 
@@ -74,13 +89,13 @@
 	return names
 }
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._:-]{0,62}$`)
 
 func checkName(value string) string {
 	if namePattern.MatchString(value) {
 		return ""
 	}
-	return "use 1 to 63 of a-z, 0-9, dot, underscore and dash, beginning with a letter or digit"
+	return "use 1 to 63 of a-z, 0-9, dot, colon, underscore and dash, beginning with a letter or digit"
 }
 
 func oneOf(values ...string) func(string) string {
--- a/relay/settings/settings.go
+++ b/relay/settings/settings.go
@@ -24,10 +24,12 @@
 	// Platform is the address of the platform's list of live and leaving VMs; none if it is not set.
 	Platform netip.AddrPort
 	// Store is the address of the store of kept KV cache; none if it is not set.
-	Store   netip.AddrPort
-	Routing Routing
-	Times   Times
-	Limits  Limits
+	Store netip.AddrPort
+	// Discovered is set where control VMs and upstreams are found instead of named.
+	Discovered Discovered
+	Routing    Routing
+	Times      Times
+	Limits     Limits
 }
 
 // Listeners are the addresses that a VM listens on.
@@ -35,6 +37,10 @@
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Peers     netip.AddrPort
+	// Ready, Requests and Metrics are optional: readiness alone, operators' calls of a desired state, and metrics as text.
+	Ready    netip.AddrPort
+	Requests netip.AddrPort
+	Metrics  netip.AddrPort
 }
 
 // Peer is another VM.
@@ -76,6 +82,14 @@
 	Claim time.Duration
 	// Write is how long one write to a caller may take.
 	Write time.Duration
+	// Stop bounds a graceful shutdown.
+	Stop time.Duration
+	// Orders is how long after the last order of another VM a new holder of the order lease may send its first one.
+	Orders time.Duration
+	// Weights is the time within which engines must serve newly named weights.
+	Weights time.Duration
+	// Repair is how long a voter must be silent before another VM takes its place.
+	Repair time.Duration
 }
 
 // Limits bound what a caller can make the VM hold.
@@ -89,6 +103,12 @@
 	Queue int
 	// Loads is the number of engines that read from the weight store at once at most.
 	Loads int
+	// Retries is the number of repeated sends per request that all VMs together may make, Slack what they may make besides in any
+	// window of a few seconds.
+	Retries float64
+	Slack   float64
+	// Lines is the number of log lines per second that a VM writes at most.
+	Lines int
 }
 
 // Default returns the settings of a single VM on loopback.
@@ -105,7 +125,9 @@
 			Lease: 6 * time.Second, Renew: 2 * time.Second, Transit: 5 * time.Second, Load: 10 * time.Minute, Election: time.Second,
 			Heartbeat: time.Second, Silence: 3 * time.Second, Headers: 30 * time.Second, Gap: 10 * time.Second,
 			Balancer: 3 * time.Second, Claim: 5 * time.Second, Write: 20 * time.Second,
+			Stop: time.Hour, Orders: 5 * time.Second, Weights: 30 * time.Second, Repair: 10 * time.Second,
 		},
-		Limits: Limits{Body: 8 << 20, Headers: 32 << 10, Answer: 64 << 10, Queue: 4096, Loads: 2},
+		Limits:     Limits{Body: 8 << 20, Headers: 32 << 10, Answer: 64 << 10, Queue: 4096, Loads: 2, Retries: 0.1, Slack: 20, Lines: 500},
+		Discovered: Discovered{Losses: 1, Lists: 10, Centres: map[string]string{}},
 	}
 }
--- a/relay/upstream/events.go
+++ b/relay/upstream/events.go
@@ -42,6 +42,8 @@
 	Prompt int
 	Answer int
 	Cached int
+	// Unknown says that the engine does not count; the other numbers are the request's own.
+	Unknown bool
 }
 
 // eventReader reads server-sent events; it accepts engines that number their events and those that only carry the request's identity.
--- /dev/null
+++ b/relay/vm/callers.go
@@ -0,0 +1,120 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/samber/oops"
+	"go.uber.org/fx"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/control"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/settings"
+)
+
+const (
+	// headerTime limits a request's header until the desired state says how long callers may take; idleTime is above any limit
+	// that it sets, since callers reuse idle connections up to that.
+	headerTime = 10 * time.Second
+	idleTime   = 3 * time.Minute
+	// stopMargin is kept free at the end of a graceful shutdown for the control state.
+	stopMargin = 1500 * time.Millisecond
+	// activeInterval is the interval at which a stopping VM looks for requests in progress.
+	activeInterval = 50 * time.Millisecond
+)
+
+func newForwarder(s settings.Settings, st *state, pool *connection.Pool, p *placer, c *counters, logger log.Interface) *forward.Forwarder {
+	budget := forward.NewBudget()
+	budget.Limit(s.Limits.Retries, s.Limits.Slack)
+	f := forward.New(
+		forward.WithTable(st.table.Load), forward.WithDialect(st.adapter.Dialect), forward.WithPool(pool), forward.WithPlace(p.place),
+		forward.WithLog(logger), forward.WithBudget(budget), forward.WithMeasure(c.observe),
+	)
+	configure := st.changed
+	st.changed = func() {
+		callers := 0
+		for _, vm := range st.vms.Load().GetVms() {
+			if vm.GetCallers() {
+				callers++
+			}
+		}
+		budget.Share(callers)
+		configure()
+	}
+	return f
+}
+
+// runCallers serves callers; it is started last and stopped first.
+func runCallers(lifecycle fx.Lifecycle, s settings.Settings, st *state, host *control.Host, f *forward.Forwarder, logger log.Interface) {
+	if !s.Listeners.Callers.IsValid() {
+		return
+	}
+	var stopping atomic.Bool
+	server := newServer(f, s.Limits.Headers, logger)
+	ready := newServer(readiness(st.adapter.Ready, func() bool {
+		return !stopping.Load() && st.table.Load() != nil && st.list.Load() != nil
+	}), s.Limits.Headers, logger)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if s.Listeners.Ready.IsValid() {
+				if err := listen(ready, s.Listeners.Ready, "listeners.ready", logger); err != nil {
+					return err
+				}
+			}
+			return listen(server, s.Listeners.Callers, "listeners.callers", logger)
+		},
+		OnStop: func(ctx context.Context) error {
+			stopping.Store(true)
+			f.Stop()
+			logger.WithFields(log.Fields{"wait": s.Times.Balancer, "active": f.Active()}).Info("unready")
+			// The balancer needs the time to see the unready state; requests that still arrive are served.
+			time.Sleep(s.Times.Balancer)
+			ctx, cancel := context.WithTimeout(ctx, s.Times.Stop-s.Times.Balancer-stopMargin)
+			defer cancel()
+			err := server.Shutdown(ctx)
+			logger.WithField("active", f.Active()).Info("callers' listener closed")
+			_ = ready.Close() // The process ends; nothing waits for this listener.
+			if errors.Is(err, context.DeadlineExceeded) {
+				return nil
+			}
+			return err
+		},
+	})
+}
+
+func newServer(handler http.Handler, headers int, logger log.Interface) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headers, ErrorLog: quietLog(logger)}
+}
+
+// readiness answers the balancer's question.
+func readiness(path string, ready func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != path:
+			w.WriteHeader(http.StatusNotFound)
+		case !ready():
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func listen(server *http.Server, address netip.AddrPort, setting string, logger log.Interface) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return oops.Hint("choose a free address").Wrapf(err, "%s: choose a free address", setting)
+	}
+	logger.WithField("address", address).WithField("setting", setting).Info("listening")
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.WithField("cause", err.Error()).Error("listener failed")
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/relay/vm/metrics.go
@@ -0,0 +1,144 @@
+package vm
+
+import (
+	"bytes"
+	"context"
+	"expvar"
+	"fmt"
+	stdlog "log"
+	"net/http"
+	"runtime"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/control"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/settings"
+)
+
+// Latencies are kept from 0.1 ms to two minutes with two significant digits.
+const (
+	leastLatency = 1
+	mostLatency  = 1_200_000
+	latencyUnit  = 100 * time.Microsecond
+	digits       = 2
+)
+
+// counters are the counts and latency histograms of a VM.
+type counters struct {
+	pool *connection.Pool
+	host *control.Host
+	mesh *meshes
+
+	mu     sync.Mutex
+	counts map[string]uint64
+	first  map[string]*hdrhistogram.Histogram
+	total  map[string]*hdrhistogram.Histogram
+}
+
+func newCounters(pool *connection.Pool, host *control.Host, m *meshes) *counters {
+	return &counters{
+		pool: pool, host: host, mesh: m, counts: map[string]uint64{}, first: map[string]*hdrhistogram.Histogram{}, total: map[string]*hdrhistogram.Histogram{},
+	}
+}
+
+// observe counts one ended request.
+func (c *counters) observe(m forward.Measure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[fmt.Sprintf("requests{route=%q,status=\"%d\"}", m.Route, m.Status)]++
+	if m.Refusal != "" {
+		c.counts[fmt.Sprintf("refusals{kind=%q}", m.Refusal)]++
+	}
+	if m.Sends > 1 {
+		c.counts["repeated_sends"] += uint64(m.Sends - 1)
+	}
+	if m.First > 0 {
+		record(c.first, m.Route, m.First)
+		record(c.total, m.Route, m.Total)
+	}
+}
+
+func record(into map[string]*hdrhistogram.Histogram, route string, d time.Duration) {
+	h, ok := into[route]
+	if !ok {
+		h = hdrhistogram.New(leastLatency, mostLatency, digits)
+		into[route] = h
+	}
+	// A longer time than the histogram holds counts as the longest.
+	_ = h.RecordValue(min(mostLatency, max(leastLatency, int64(d/latencyUnit))))
+}
+
+// text returns all metrics, one a line.
+func (c *counters) text() []byte {
+	var lines []string
+	c.mu.Lock()
+	for name, n := range c.counts {
+		lines = append(lines, fmt.Sprintf("%s %d", name, n))
+	}
+	for name, list := range map[string]map[string]*hdrhistogram.Histogram{"first": c.first, "total": c.total} {
+		for route, h := range list {
+			for _, q := range []float64{50, 95, 99} {
+				lines = append(lines, fmt.Sprintf("%s_ms{route=%q,quantile=\"%g\"} %.1f", name, route, q/100, float64(h.ValueAtQuantile(q))/10))
+			}
+		}
+	}
+	c.mu.Unlock()
+	pool := c.pool.Counters()
+	view := c.host.View()
+	peers := c.mesh.mesh.Counters()
+	for name, n := range map[string]uint64{
+		"connections_dialled": pool.Dialled, "connections_reused": pool.Reused, "connections_stale": pool.Stale,
+		"answers_foreign": pool.Foreign, "answers_trailing": pool.Trailing, "goroutines": uint64(runtime.NumGoroutine()),
+		"peer_messages_sent": uint64(peers.Sent.Load()), "peer_messages_received": uint64(peers.Received.Load()), "peer_bytes": uint64(peers.Bytes.Load()),
+		"peer_messages_dropped": uint64(peers.Dropped.Load()),
+	} {
+		lines = append(lines, fmt.Sprintf("%s %d", name, n))
+	}
+	if view.Catalogue != nil {
+		lines = append(lines, fmt.Sprintf("configuration_version %d", view.Catalogue.Version), fmt.Sprintf("desired_number %d", view.Catalogue.Desired.Number))
+	}
+	lines = append(lines, fmt.Sprintf("lease_left_ms %d", max(0, view.Until-c.host.Now()).Milliseconds()))
+	sort.Strings(lines)
+	var b bytes.Buffer
+	for _, line := range lines {
+		b.WriteString(line + "\n")
+	}
+	return b.Bytes()
+}
+
+// runMetrics serves the metrics as text; expvar's own page stays at its usual path.
+func runMetrics(lifecycle fx.Lifecycle, s settings.Settings, c *counters, logger log.Interface) {
+	if !s.Listeners.Metrics.IsValid() {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		// A reader that left needs no metrics.
+		_, _ = w.Write(c.text())
+	})
+	server := newServer(mux, s.Limits.Headers, logger)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return listen(server, s.Listeners.Metrics, "listeners.metrics", logger) },
+		OnStop:  func(context.Context) error { return server.Close() },
+	})
+}
+
+// lineWriter passes the HTTP server's own lines to the log.
+type lineWriter struct{ log log.Interface }
+
+// Write implements io.Writer.
+func (w lineWriter) Write(line []byte) (int, error) {
+	w.log.WithField("cause", string(bytes.TrimSpace(line))).Debug("http server")
+	return len(line), nil
+}
+
+func quietLog(logger log.Interface) *stdlog.Logger { return stdlog.New(lineWriter{logger}, "", 0) }
--- /dev/null
+++ b/relay/vm/state.go
@@ -0,0 +1,140 @@
+package vm
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+	"github.com/chicoryrelay/chicoryrelay/relay/route"
+)
+
+// state is what the goroutines that carry traffic see: the routes in force and the upstreams.
+type state struct {
+	adapter Adapter
+	log     log.Interface
+	started time.Time
+	table   atomic.Pointer[route.Table]
+	list    atomic.Pointer[directory.List]
+	weights atomic.Pointer[map[string]uint64]
+	vms     atomic.Pointer[peer.Roster]
+
+	mu        sync.Mutex
+	directory *directory.Directory
+	// listed is when the list was read that the directory holds.
+	listed time.Duration
+	// changed is told of each new table or list.
+	changed func()
+}
+
+func newState(adapter Adapter, logger log.Interface) *state {
+	return &state{adapter: adapter, log: logger, started: time.Now(), directory: directory.New(), changed: func() {}}
+}
+
+// now is the clock of the directory.
+func (s *state) now() time.Duration { return time.Since(s.started) }
+
+// install takes a newly installed configuration.
+func (s *state) install(c *catalogue.Catalogue) {
+	weights := c.Weights
+	s.weights.Store(&weights)
+	if held := s.table.Load(); c.Desired.Number == 0 || held != nil && held.State.Number >= c.Desired.Number {
+		s.changed()
+		return
+	}
+	desired, err := s.adapter.Documents.Decode(c.Desired.Document)
+	if err != nil {
+		s.log.WithField("cause", err.Error()).WithField("number", c.Desired.Number).Error("desired state not understood: run the same release on all VMs")
+		return
+	}
+	desired.Number = c.Desired.Number
+	s.table.Store(route.NewTable(desired))
+	s.log.WithFields(log.Fields{"number": desired.Number, "version": c.Version, "routes": len(desired.Routes), "accounts": len(desired.Accounts)}).Info("desired state installed")
+	s.changed()
+}
+
+// listedNow takes the platform's list as this VM, or the leader, has read it.
+func (s *state) listedNow(upstreams []directory.Upstream, read time.Duration, source string) {
+	s.mu.Lock()
+	s.directory.Listed(upstreams)
+	s.listed = max(s.listed, read)
+	s.publish(source)
+	s.mu.Unlock()
+}
+
+// hear takes what an upstream said of itself.
+func (s *state) hear(report directory.Report) {
+	s.mu.Lock()
+	s.directory.Hear(s.now(), report)
+	s.publish("upstream " + report.ID)
+	s.mu.Unlock()
+}
+
+// publish makes the merged list the one that traffic sees; the lock is held.
+func (s *state) publish(source string) {
+	upstreams := s.directory.Upstreams(s.now())
+	before := s.list.Load()
+	if before != nil && same(before.Upstreams, upstreams) {
+		return
+	}
+	list := directory.NewList(upstreams)
+	s.list.Store(list)
+	s.logChanges(before, list, source)
+	s.changed()
+}
+
+// logChanges writes one line for each upstream that came, went or changed.
+func (s *state) logChanges(before, after *directory.List, source string) {
+	for i := range after.Upstreams {
+		u := &after.Upstreams[i]
+		old := before.Find(u.ID)
+		if old != nil && old.Leaving == u.Leaving && old.Loading == u.Loading && old.Born.Equal(u.Born) && sameModels(old.Models, u.Models) && old.Address == u.Address {
+			continue
+		}
+		entry := s.log.WithFields(log.Fields{
+			"upstream": u.ID, "service": u.Service, "address": u.Address, "centre": u.Centre, "leaving": u.Leaving, "loading": u.Loading, "source": source,
+		})
+		for _, m := range u.Models {
+			entry = entry.WithField("weights", m.Weights)
+		}
+		entry.Info("upstream changed")
+	}
+	if before == nil {
+		return
+	}
+	for i := range before.Upstreams {
+		if after.Find(before.Upstreams[i].ID) == nil {
+			s.log.WithFields(log.Fields{"upstream": before.Upstreams[i].ID, "source": source}).Info("upstream gone")
+		}
+	}
+}
+
+func same(a, b []directory.Upstream) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		if x.ID != y.ID || x.Address != y.Address || x.Leaving != y.Leaving || x.Loading != y.Loading || x.Service != y.Service ||
+			x.Slots != y.Slots || !x.Born.Equal(y.Born) || !sameModels(x.Models, y.Models) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameModels(a, b []directory.Model) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/relay/vm/watch.go
@@ -0,0 +1,154 @@
+package vm
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/control"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
+	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
+	"github.com/chicoryrelay/chicoryrelay/relay/settings"
+)
+
+const (
+	// listInterval is the interval at which the leader reads the platform's list: a leaving upstream must be known within a few
+	// seconds, and each reading is paid for.
+	listInterval = 700 * time.Millisecond
+	// listSilence is the age of the leader's reading from which a VM reads the list itself.
+	listSilence = 2500 * time.Millisecond
+	// listLimit is the time limit of one page.
+	listLimit = time.Second
+	// answerLimit bounds the bytes of an answer to a call of the product's own.
+	answerLimit = 4 << 20
+	// digestInterval is the interval at which VMs with callers share their view.
+	digestInterval = 500 * time.Millisecond
+	// mostNeighbours bounds the VMs that one VM shares its view with.
+	mostNeighbours = 12
+)
+
+// watcher reads the platform's list and shares this VM's view with others.
+type watcher struct {
+	settings settings.Settings
+	state    *state
+	host     *control.Host
+	pool     *connection.Pool
+	mesh     *meshes
+	dispatch *dispatch.Dispatcher
+	log      log.Interface
+	lost     bool
+}
+
+func runWatch(lifecycle fx.Lifecycle, s settings.Settings, st *state, host *control.Host, pool *connection.Pool, m *meshes, d *dispatch.Dispatcher, logger log.Interface) {
+	w := &watcher{settings: s, state: st, host: host, pool: pool, mesh: m, dispatch: d, log: logger}
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go every(ctx, listInterval, func() { w.list(ctx) })
+			if s.Listeners.Callers.IsValid() {
+				go every(ctx, digestInterval, w.digest)
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+}
+
+// leads reports whether this VM is the leader that lease holders listen to.
+func leads(host *control.Host) (leads bool) {
+	host.Read(func(_ control.Moment, node *control.Node) {
+		leads = node.Voter() != nil && node.Voter().Leads()
+	})
+	return leads
+}
+
+// list reads the platform's list on the leader, and on a VM that has not heard of the leader's reading lately.
+func (w *watcher) list(ctx context.Context) {
+	leader := w.settings.Data != "" && leads(w.host)
+	if !leader && (w.settings.Data != "" || w.host.Now()-w.host.View().Listed < listSilence) {
+		return
+	}
+	asked := w.host.Now()
+	upstreams, err := readList(ctx, w.pool, w.settings.Platform, w.state.adapter.List)
+	if err != nil {
+		w.log.WithField("cause", err.Error()).WithField("age", asked-w.state.listed).Warn("platform list not read")
+		w.lost = true
+		return
+	}
+	if w.lost {
+		w.log.WithField("upstreams", len(upstreams)).Info("platform list read again")
+		w.lost = false
+	}
+	w.state.listedNow(upstreams, asked, "list")
+	if leader {
+		w.host.Publish(directory.Board(w.state.list.Load().Upstreams), asked)
+	}
+}
+
+// readList reads all pages.
+func readList(ctx context.Context, pool *connection.Pool, address netip.AddrPort, codec ListCodec) ([]directory.Upstream, error) {
+	var all []directory.Upstream
+	page := ""
+	for {
+		status, body, err := call(ctx, pool, address, codec.Request(page), listLimit)
+		if err != nil {
+			return nil, err
+		}
+		upstreams, next, err := codec.Answer(status, body)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, upstreams...)
+		if next == "" {
+			return all, nil
+		}
+		page = next
+	}
+}
+
+// call makes one call of the product's own and reads its whole answer.
+func call(ctx context.Context, pool *connection.Pool, address netip.AddrPort, r *connection.Request, limit time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answer, err := pool.Do(ctx, address, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer, answerLimit))
+	if err != nil {
+		return 0, nil, err
+	}
+	if len(body) == answerLimit {
+		return 0, nil, fmt.Errorf("the answer of %s is larger than %d bytes", address, answerLimit)
+	}
+	return answer.Status, body, nil
+}
+
+// digest tells the neighbours what this VM has in progress and which prompts it sees often.
+func (w *watcher) digest() {
+	roster := w.state.vms.Load()
+	if roster == nil {
+		return
+	}
+	var digest = w.dispatch.Digest()
+	sent := 0
+	for _, vm := range roster.GetVms() {
+		if !vm.GetCallers() || vm.GetName() == w.settings.Name {
+			continue
+		}
+		w.mesh.mesh.Send(vm.GetName(), digest)
+		if sent++; sent >= mostNeighbours {
+			return
+		}
+	}
+}
