Roll out named weights by draining and loading a few engines at a time

Cause: the order core waits for reports that are seconds old and for runs to finish; a run waits up to four seconds for its end. Ruled out: more loads at once, since the store slows down. Change: package rollout; engines drain while others load, runs that can go on elsewhere are broken off, requests prefer the newest weights 1.3 s after they were named.

--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -34,6 +34,7 @@
 	news      []news
 	waste     Waste
 	found     []int32
+	newest    map[string]newest
 	paces     []float64
 }
 
@@ -58,6 +59,7 @@
 		flights:  map[string]*flight{},
 		demand:   newDemand(s.times.HalfLife),
 		peers:    map[string]*neighbour{},
+		newest:   map[string]newest{},
 	}
 }
 
--- a/relay/routing/messages.go
+++ b/relay/routing/messages.go
@@ -88,5 +88,11 @@
 	Blocks      []cache.Block
 }
 
+// Newest says which weights of a model have been named last; requests go to engines that serve them once enough do.
+type Newest struct {
+	Model   string
+	Weights string
+}
+
 // Tick drives what depends on time alone; send one every 10 to 100 ms.
 type Tick struct{}
--- a/relay/routing/plan.go
+++ b/relay/routing/plan.go
@@ -73,7 +73,7 @@
 // plan prepares the choice for a request; it returns false when no upstream serves the version in the allowed regions.
 func (c *Core) plan(now time.Duration, f *flight, p *plan) bool {
 	regions := c.bounds(&f.request)
-	g := c.groupFor(&f.request, regions)
+	g := c.groupFor(now, &f.request, regions)
 	if g == nil {
 		return false
 	}
--- a/relay/routing/queue.go
+++ b/relay/routing/queue.go
@@ -188,7 +188,7 @@
 	case now-f.arrived > c.times.Patience:
 		return refused(outcome.Overloaded, "retry with backoff: no upstream was free in time"), true
 	}
-	g := c.groupFor(&f.request, c.bounds(&f.request))
+	g := c.groupFor(now, &f.request, c.bounds(&f.request))
 	if g == nil || !c.anyAllowed(&plan{group: g, regions: c.bounds(&f.request)}) {
 		return noUpstream(), true
 	}
--- a/relay/routing/version.go
+++ b/relay/routing/version.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -10,16 +11,61 @@
 // groupFor returns the upstreams of the version that the request wants, or nil. Without a wanted version the versions in service
 // share the work by their slots, so that the first upstream of a new version doesn't get all of it; a prefix stays with one
 // version as long as the shares stay, because all VMs score the versions in the same way.
-func (c *Core) groupFor(r *Request, regions uint64) *group {
+func (c *Core) groupFor(now time.Duration, r *Request, regions uint64) *group {
 	if r.Weights != "" {
 		return c.groups[Version{r.Model, r.Adapter, r.Weights}]
 	}
+	if g := c.preferred(now, r, regions); g != nil {
+		return g
+	}
 	if g := c.sharedGroup(r, regions, r.Exclude); g != nil || len(r.Exclude) == 0 {
 		return g
 	}
 	return c.sharedGroup(r, regions, nil)
 }
 
+// newest is the weights version that was named last for a model.
+type newest struct {
+	weights string
+	since   time.Duration
+}
+
+const (
+	// preferAfter is the time after weights were named from which requests avoid older ones: answers made on them lose worth
+	// soon after.
+	preferAfter = 1300 * time.Millisecond
+	// preferShare is the part of the serving slots that must serve the newest weights before they get all requests.
+	preferShare = 0.3
+)
+
+func (m Newest) apply(c *Core, now time.Duration, _ *Effects) {
+	if c.newest[m.Model].weights != m.Weights {
+		c.newest[m.Model] = newest{weights: m.Weights, since: now}
+	}
+}
+
+// preferred returns the group of the newest weights if requests are to go there, or nil.
+func (c *Core) preferred(now time.Duration, r *Request, regions uint64) *group {
+	named, ok := c.newest[r.Model]
+	if !ok || now < named.since+preferAfter {
+		return nil
+	}
+	g := c.groups[Version{r.Model, r.Adapter, named.weights}]
+	if g == nil {
+		return nil
+	}
+	all := 0
+	for version, other := range c.groups {
+		if version.Model == r.Model && version.Adapter == r.Adapter {
+			all += other.serving(regions, nil)
+		}
+	}
+	if slots := g.serving(regions, r.Exclude); slots > 0 && float64(slots) >= preferShare*float64(all) {
+		return g
+	}
+	return nil
+}
+
 func (c *Core) sharedGroup(r *Request, regions uint64, exclude []string) *group {
 	key := xxhash.Sum64String(r.ID)
 	if len(r.Levels) > 0 {
--- a/relay/vm/adapter.go
+++ b/relay/vm/adapter.go
@@ -7,6 +7,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/directory"
 	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/rollout"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 )
 
@@ -38,6 +39,8 @@
 	// Sequence is the number of orders that this life of the engine has accepted.
 	Sequence uint64
 	Born     int64
+	// Runs are the priorities of the requests that it runs.
+	Runs []int
 }
 
 // EngineOrder asks an engine to take other weights.
@@ -52,24 +55,12 @@
 	Sequence uint64
 }
 
-// OrderResult is what an engine answered to an order.
-type OrderResult int
-
-// The results of an order.
-const (
-	OrderTaken OrderResult = iota
-	OrderHolds
-	OrderRefused
-	// OrderOutdated means that the engine has seen a higher fencing number.
-	OrderOutdated
-)
-
 // EngineCodec speaks with engines.
 type EngineCodec struct {
 	Report func(upstream string) *connection.Request
 	State  func(status int, body []byte) (EngineState, error)
 	Order  func(EngineOrder) *connection.Request
-	Result func(status int) OrderResult
+	Result func(status int) rollout.Result
 }
 
 // Operators are the calls that operators make.
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -104,6 +104,9 @@
 			break
 		}
 	}
+	if weights := p.state.weights.Load(); weights != nil {
+		p.nameWeights(table, *weights)
+	}
 	if slices.Equal(engines, p.told) {
 		return
 	}
@@ -111,6 +114,21 @@
 	p.dispatch.Configure(&catalogue.Catalogue{Upstreams: engines})
 }
 
+// nameWeights tells the routing core which weights were named last.
+func (p *placer) nameWeights(table *route.Table, weights map[string]uint64) {
+	for i := range table.State.Services {
+		service := &table.State.Services[i]
+		if service.Engine == nil {
+			continue
+		}
+		for _, model := range service.Engine.Models {
+			if version := weights[model]; version > 0 {
+				p.dispatch.Tell(routing.Newest{Model: family(service.Name, model), Weights: strconv.FormatUint(version, 10)})
+			}
+		}
+	}
+}
+
 // place is the forwarder's placement.
 func (p *placer) place(ctx context.Context, w *forward.Work) (*forward.Placement, error) {
 	if w.Service == nil {
@@ -159,7 +177,7 @@
 	}).Info("placed")
 	incarnation := incarnationOf(u)
 	return &forward.Placement{
-		Upstream: u, Weights: weights, Priority: ticket.Priority, Salt: salt(w.Scope, w.Ask.Model, weights),
+		Upstream: u, Weights: weights, Priority: urgency(ticket.Priority, w), Salt: salt(w.Scope, w.Ask.Model, weights),
 		Begin: func() { ticket.FirstToken(incarnation) },
 		Finish: func(h forward.Heard) {
 			p.heard(u, w, h)
@@ -181,6 +199,21 @@
 	return uint64(u.Born.UnixMilli())
 }
 
+// urgencies is the number of priorities at an engine for one class of requests: requests that can't be repeated are told apart, so that
+// an engine's report shows whether it may break its runs off.
+const (
+	urgencies = 2
+	onceOnly  = 1
+)
+
+// urgency returns the priority of a request at its engine; 0 is the most urgent.
+func urgency(class int, w *forward.Work) int {
+	if w.Route.Repeatable() {
+		return urgencies * class
+	}
+	return urgencies*class + onceOnly
+}
+
 // salt keeps cached prompts apart that must not be shared: those of isolated accounts, and those made with other weights.
 func salt(scope, model string, weights uint64) string {
 	sum := sha256.Sum256([]byte(fmt.Sprintf("%d:%s%d:%s%d", len(scope), scope, len(model), model, weights)))
