Place by lateness and by what reading shared parts again costs

Change: policy reuse in the routing core; engines' cache events read by one VM of their data centre and shared; parts fetched from other engines; digests carry prompt tokens and memory.

--- a/relay/dispatch/digest.go
+++ b/relay/dispatch/digest.go
@@ -16,6 +16,7 @@
 	var digest routing.Digest
 	d.Read(func(now time.Duration, core *routing.Core) { digest = core.Digest(now) })
 	m := &peer.Digest{Outstanding: counts(digest.Outstanding), Accounts: counts(digest.Accounts)}
+	m.Prompts, m.Memory = counts(digest.Prompts), counts(digest.Memory)
 	for _, hot := range digest.Hot {
 		m.Hot = append(m.Hot, &peer.Hot{Prefix: hot.Prefix, Rate: float32(hot.Rate)})
 	}
@@ -31,13 +32,19 @@
 
 // Hear takes a neighbour's digest.
 func (d *Dispatcher) Hear(vm string, m *peer.Digest) {
-	digest := routing.Digest{VM: vm, Outstanding: map[string]int{}, Accounts: map[string]int{}}
+	digest := routing.Digest{VM: vm, Outstanding: map[string]int{}, Accounts: map[string]int{}, Prompts: map[string]int{}, Memory: map[string]int{}}
 	for _, count := range m.GetOutstanding() {
 		digest.Outstanding[count.GetName()] = int(count.GetCount())
 	}
 	for _, count := range m.GetAccounts() {
 		digest.Accounts[count.GetName()] = int(count.GetCount())
 	}
+	for _, count := range m.GetPrompts() {
+		digest.Prompts[count.GetName()] = int(count.GetCount())
+	}
+	for _, count := range m.GetMemory() {
+		digest.Memory[count.GetName()] = int(count.GetCount())
+	}
 	for _, hot := range m.GetHot() {
 		digest.Hot = append(digest.Hot, routing.Hot{Prefix: hot.GetPrefix(), Rate: float64(hot.GetRate())})
 	}
--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -143,10 +143,11 @@
 	decision routing.Decision
 	upstream catalogue.Upstream
 	exporter *Import
+	fetch    catalogue.Upstream
 }
 
 func (d *Dispatcher) placement(decision routing.Decision) placement {
-	p := placement{decision: decision, upstream: d.upstreams[decision.Upstream]}
+	p := placement{decision: decision, upstream: d.upstreams[decision.Upstream], fetch: d.upstreams[decision.Fetch]}
 	if decision.Import != nil {
 		p.exporter = &Import{From: d.upstreams[decision.Import.From], Incarnation: decision.Import.Incarnation}
 	}
@@ -195,7 +196,7 @@
 	if p.decision.Refusal != nil {
 		return nil, p.decision.Refusal
 	}
-	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.exporter, dispatcher: d, id: id}
+	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.exporter, Fetch: p.fetch, dispatcher: d, id: id}
 	if p.decision.Hedge != nil {
 		t.Hedge = p.decision.Hedge.Delay
 	}
@@ -206,7 +207,7 @@
 	r := routing.Request{
 		ID: request.ID, Account: request.Account.Name, Assistant: request.Assistant.Name,
 		Model: request.Assistant.Model, Adapter: request.Assistant.Adapter, Weights: request.Assistant.Weights,
-		Levels: request.Levels, PromptTokens: request.PromptTokens, AnswerTokens: request.AnswerTokens,
+		Levels: request.Levels, Parts: request.Parts, Target: request.Target, PromptTokens: request.PromptTokens, AnswerTokens: request.AnswerTokens,
 		Idempotent: request.Idempotent, Regions: request.Account.Regions, Exclude: request.Failed, Attempt: len(request.Failed),
 	}
 	if request.Pinned != nil {
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -16,6 +16,9 @@
 	Account   catalogue.Account
 	Assistant catalogue.Assistant
 	Levels    []prompt.Level
+	// Parts identify the parts that end at the levels; Target is the latency objective.
+	Parts  []uint64
+	Target time.Duration
 	// PromptTokens and AnswerTokens are estimates.
 	PromptTokens int
 	AnswerTokens int
@@ -33,6 +36,8 @@
 type Ticket struct {
 	Upstream catalogue.Upstream
 	Priority int
+	// Fetch is the upstream that the engine takes parts from; its name is empty for none.
+	Fetch catalogue.Upstream
 	// Hedge is the delay without a first token after which a second attempt may be asked for; 0 means never.
 	Hedge time.Duration
 
--- a/relay/forward/placement.go
+++ b/relay/forward/placement.go
@@ -17,9 +17,11 @@
 	Service *route.Service
 	Ask     *Ask
 	// Scope names who shares cached prompts with the request: the account if that is isolated, else empty.
-	Scope    string
-	Account  *route.Account
-	Levels   []prompt.Level
+	Scope   string
+	Account *route.Account
+	Levels  []prompt.Level
+	// Parts identify the parts that end at the levels.
+	Parts    []uint64
 	Priority int
 	// Arrived and Until are when the request came and when its caller gives up.
 	Arrived time.Time
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
@@ -125,6 +126,9 @@
 		}
 	}
 	s.work.Levels = levels(s.work.Scope, s.ask.Parts)
+	for _, part := range s.ask.Parts {
+		s.work.Parts = append(s.work.Parts, xxhash.Sum64String(part.ID))
+	}
 	s.target = s.r.RequestURI
 	if !strings.HasPrefix(s.target, "/") {
 		s.target = s.r.URL.RequestURI()
--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -35,6 +35,7 @@
 	waste     Waste
 	found     []int32
 	newest    map[string]newest
+	parts     *parts
 	paces     []float64
 }
 
@@ -60,6 +61,7 @@
 		demand:   newDemand(s.times.HalfLife),
 		peers:    map[string]*neighbour{},
 		newest:   map[string]newest{},
+		parts:    newParts(),
 	}
 }
 
--- a/relay/routing/decide.go
+++ b/relay/routing/decide.go
@@ -118,17 +118,22 @@
 	c.estimate(now, u, p, min(int(c.found[u.handle]), p.tokens), &e)
 	key := u.key(f.request.Account)
 	key.Incarnation = c.cache.Incarnation(u.handle)
-	cached := min(c.cache.Usable(now, key, f.request.Levels), p.tokens)
+	cached := max(e.cached, e.kept)
+	if c.policy != Reuse {
+		cached = min(c.cache.Usable(now, key, f.request.Levels), p.tokens)
+	}
 	d := Decision{
 		Upstream: u.info.Name, Incarnation: key.Incarnation, Weights: u.info.Weights, Priority: f.urgency,
 		Cached: cached, Expected: seconds(e.ttft()),
 	}
-	if e.transfer > 0 {
+	if e.fetch != nil {
+		d.Fetch = e.fetch.info.Name
+	} else if e.transfer > 0 {
 		d.Import = c.importPlan(now, f, p)
 	}
 	if d.Import != nil {
 		d.Cached = max(cached, d.Import.Tokens)
-	} else {
+	} else if c.policy != Reuse {
 		c.countElsewhere(now, u, p, &e)
 	}
 	if p.hedgeable() && ch.second != nil {
@@ -136,6 +141,7 @@
 	}
 	c.fairness.Serve(f.request.Account, seconds(f.service/float64(p.group.slots)))
 	c.send(now, f, u, d.Cached, false)
+	c.keepParts(now, u, p)
 	return d
 }
 
--- a/relay/routing/digest.go
+++ b/relay/routing/digest.go
@@ -18,8 +18,11 @@
 	// Outstanding are the requests in progress per upstream, Accounts per limited account.
 	Outstanding map[string]int
 	Accounts    map[string]int
-	Hot         []Hot
-	Hints       []cache.Hint
+	// Prompts are the prompt tokens not yet read and Memory those of all requests in progress, per upstream.
+	Prompts map[string]int
+	Memory  map[string]int
+	Hot     []Hot
+	Hints   []cache.Hint
 }
 
 // Hot is the demand for a prefix.
@@ -32,16 +35,23 @@
 type neighbour struct {
 	heard       time.Duration
 	outstanding map[string]int
+	prompts     map[string]int
+	memory      map[string]int
 }
 
 // Digest returns this VM's digest.
 func (c *Core) Digest(now time.Duration) Digest {
-	d := Digest{VM: c.vm, Outstanding: map[string]int{}, Accounts: c.limits.Publish()}
+	d := Digest{VM: c.vm, Outstanding: map[string]int{}, Accounts: c.limits.Publish(), Prompts: map[string]int{}, Memory: map[string]int{}}
 	for _, u := range c.upstreams {
 		if u.outstanding > 0 {
 			d.Outstanding[u.info.Name] = u.outstanding
+			d.Prompts[u.info.Name] = ahead(&u.backlog, classes-1)
+			d.Memory[u.info.Name] = u.memory
 		}
 	}
+	if c.policy == Reuse {
+		return d
+	}
 	d.Hints = c.takeNews(now)
 	for _, h := range c.demand.hottest(now) {
 		d.Hot = append(d.Hot, Hot{Prefix: h.prefix, Rate: c.demand.rate(now, h.prefix)})
@@ -89,7 +99,7 @@
 	if m.VM == c.vm {
 		return
 	}
-	c.peers[m.VM] = &neighbour{heard: now, outstanding: m.Outstanding}
+	c.peers[m.VM] = &neighbour{heard: now, outstanding: m.Outstanding, prompts: m.Prompts, memory: m.Memory}
 	c.limits.Hear(now, m.VM, m.Accounts)
 	c.demand.hear(now, m.VM, m.Hot)
 	c.forgetPeers(now)
@@ -137,9 +147,14 @@
 // countOthers estimates the other VMs' requests at an upstream: by the neighbours' digests and by the upstream's report, whichever is more.
 func (c *Core) countOthers(now time.Duration, u *upstream) {
 	told := 0
+	u.othersPrompt, u.othersMemory, u.othersAt = 0, 0, now
 	for _, peer := range c.peers {
 		if now-peer.heard <= c.times.Stale {
 			told += peer.outstanding[u.info.Name]
+			u.othersMemory += peer.memory[u.info.Name]
+			// What was told a while ago has been read since.
+			read := (now - peer.heard).Seconds() / max(u.group.model.perToken.value, 1e-7)
+			u.othersPrompt += max(0, peer.prompts[u.info.Name]-int(read))
 		}
 	}
 	if u.reported.heard && now-u.reported.at <= c.times.Stale {
--- a/relay/routing/flight.go
+++ b/relay/routing/flight.go
@@ -75,12 +75,15 @@
 		u.long++
 	}
 	u.backlog[f.urgency] += uncached
+	u.memory += f.request.PromptTokens
 	u.group.busy.add(now, float64(uncached)*u.group.model.perToken.value)
 	u.awaiting = append(u.awaiting, a)
 	if probe {
 		u.slow.probing = true
 	}
-	c.cache.Place(now, u.handle, key.Scope, f.request.Levels)
+	if c.policy != Reuse {
+		c.cache.Place(now, u.handle, key.Scope, f.request.Levels)
+	}
 	return a
 }
 
@@ -88,6 +91,7 @@
 func (c *Core) settle(now time.Duration, a *attempt) bool {
 	u, f := a.up, a.flight
 	u.outstanding--
+	u.memory -= f.request.PromptTokens
 	if a.long {
 		u.long--
 	}
--- a/relay/routing/model.go
+++ b/relay/routing/model.go
@@ -152,6 +152,9 @@
 	price    float64
 	total    float64
 	open     bool
+	// fetch is the engine that parts are taken from, kept the length of those that need no prefill then.
+	fetch *upstream
+	kept  int
 }
 
 // ttft returns the expected time to first token.
@@ -159,6 +162,10 @@
 
 // estimate settles the cost of sending a request to an upstream that has the given number of tokens cached.
 func (c *Core) estimate(now time.Duration, u *upstream, p *plan, cached int, e *cost) {
+	if c.policy == Reuse {
+		c.estimateReuse(now, u, p, cached, e)
+		return
+	}
 	g := u.group
 	pace := u.relativePace(now)
 	perToken := g.model.perToken.value * pace
@@ -193,7 +200,7 @@
 
 // leastCold returns a bound below the cost of all upstreams that are no homes and have nothing cached, imports aside.
 func (c *Core) leastCold(p *plan) float64 {
-	if c.transfer > 0 {
+	if c.transfer > 0 || c.policy == Reuse {
 		return 0
 	}
 	m := &p.group.model
--- a/relay/routing/options.go
+++ b/relay/routing/options.go
@@ -77,6 +77,7 @@
 	perToken time.Duration
 	transfer time.Duration
 	random   *rand.Rand
+	saltOf   func(account string, v Version) string
 	cache    []cache.Option
 }
 
@@ -96,6 +97,7 @@
 		queue:    4096,
 		perToken: 100 * time.Microsecond,
 		random:   rand.New(rand.NewPCG(1, 1)),
+		saltOf:   func(account string, v Version) string { return account + "/" + v.Model + "/" + v.Weights },
 	}
 }
 
@@ -133,5 +135,10 @@
 // WithRandom sets the random source.
 func WithRandom(random *rand.Rand) Option { return func(s *settings) { s.random = random } }
 
+// WithSalt sets the text under which engines cache the parts of an account's prompts.
+func WithSalt(salt func(account string, v Version) string) Option {
+	return func(s *settings) { s.saltOf = salt }
+}
+
 // WithCache passes options to the cache knowledge.
 func WithCache(opts ...cache.Option) Option { return func(s *settings) { s.cache = opts } }
--- a/relay/routing/plan.go
+++ b/relay/routing/plan.go
@@ -30,7 +30,12 @@
 	// shared is the length that the neighbours probably have in common with the request, elsewhere their uses per second.
 	shared int
 	// common says that other requests used the prefix lately.
-	common    bool
+	common bool
+	// keys identify the request's parts at the group's engines, sources are the longest holders by data centre, and somewhere is the
+	// length of the shared parts that any engine holds.
+	keys      []uint64
+	sources   [mostSources]source
+	somewhere int
 	elsewhere float64
 }
 
@@ -88,13 +93,21 @@
 	}
 	c.found = c.found[:c.cache.Handles()]
 	clear(c.found)
-	c.cache.Find(now, p.scope, f.request.Levels, c.found)
+	if c.policy == Reuse {
+		c.prepareReuse(now, p)
+	} else {
+		c.cache.Find(now, p.scope, f.request.Levels, c.found)
+	}
 	if !c.survey(p) {
 		p.exclude = nil
 		if !c.survey(p) {
 			return false
 		}
 	}
+	if c.policy == Reuse {
+		c.homeReuse(p)
+		return true
+	}
 	c.settleHomes(now, p)
 	c.settleExport(p)
 	return true
--- a/relay/routing/request.go
+++ b/relay/routing/request.go
@@ -18,11 +18,15 @@
 	// Weights pins a version, as for the resume of a stream; empty takes one of those in service, shared by their slots.
 	Weights string
 	// Levels are the nested prefixes, shortest first; they must not be changed while the request is in progress.
-	Levels       []prompt.Level
+	Levels []prompt.Level
+	// Parts identify the parts that end at the levels, where engines tell which parts they hold.
+	Parts        []uint64
 	PromptTokens int
 	// AnswerTokens is the expected length of the answer.
 	AnswerTokens int
 	Idempotent   bool
+	// Target is the latency objective for the first token; 0 means none.
+	Target time.Duration
 	// Deadline is the time on the core's clock by which the first token is wanted, 0 for none.
 	Deadline time.Duration
 	// Regions bound the work; empty means all. The account's regions bound it too.
@@ -59,7 +63,9 @@
 	Cached   int
 	Expected time.Duration
 	Import   *Import
-	Hedge    *Hedge
+	// Fetch is the upstream that the engine takes parts from that it does not hold.
+	Fetch string
+	Hedge *Hedge
 	// Queued says that a later message releases the request as a Dispatch.
 	Queued  bool
 	Place   int
--- a/relay/routing/upstream.go
+++ b/relay/routing/upstream.go
@@ -24,6 +24,12 @@
 	outstanding int
 	long        int
 	others      int
+	// memory is the prompt tokens of this VM's requests in progress; the others' memory and prompts not yet read are as of othersAt.
+	memory       int
+	othersMemory int
+	othersPrompt int
+	othersAt     time.Duration
+	epoch        uint64
 	// backlog is this VM's prompt tokens sent there and not yet prefilled, by urgency.
 	backlog [classes]int
 	// wanted and wantedTokens are the queued requests that wait for this upstream, and their prefill work.
@@ -109,6 +115,7 @@
 	// slots are those of all upstreams that take new work; slow says that any of them is slow.
 	slots int
 	slow  bool
+	salts map[string]uint64
 }
 
 func (g *group) drop(u *upstream) {
@@ -189,6 +196,7 @@
 	} else if u.version() != (Version{info.Model, info.Adapter, info.Weights}) {
 		// An engine that loads another version drops its cache.
 		c.cache.Clear(u.handle)
+		c.parts.drop(u.handle)
 		u.group.drop(u)
 		u.group.count()
 		u.info = info
@@ -222,6 +230,7 @@
 	if len(u.group.list) == 0 {
 		delete(c.groups, u.group.version)
 	}
+	c.parts.drop(u.handle)
 	c.cache.Detach(u.handle)
 	u.handle = -1
 	delete(c.byName, u.info.Name)
--- a/relay/settings/fields.go
+++ b/relay/settings/fields.go
@@ -41,7 +41,7 @@
 	count("discovered.losses", "The number of data folders that may be lost at once; the replicated log gets twice as many voters and one more.", 0, 3, func(s *Settings) *int { return &s.Discovered.Losses }),
 	regions("discovered.centres", "The region of each data centre.", func(s *Settings) *map[string]string { return &s.Discovered.Centres }),
 	count("discovered.lists", "The number of calls per second that the platform's list accepts from all VMs together.", 1, 100000, func(s *Settings) *int { return &s.Discovered.Lists }),
-	text("routing.policy", "How upstreams are chosen: cost, or a baseline for measurements: robin, least or hash.", func(s *Settings) *string { return &s.Routing.Policy }, oneOf("cost", "robin", "least", "hash")),
+	text("routing.policy", "How upstreams are chosen: cost, reuse for engines that tell which parts of prompts they hold, or a baseline for measurements: robin, least or hash.", func(s *Settings) *string { return &s.Routing.Policy }, oneOf("cost", "reuse", "robin", "least", "hash")),
 	text("routing.span", "How far away the homes of prefixes may stand: centre, region or everywhere; the same on all VMs. Wider spans recompute less and send more traffic over links.", func(s *Settings) *string { return &s.Routing.Span }, oneOf("centre", "region", "everywhere")),
 	span("routing.import", "How long the import of one token's KV cache takes; 0s turns imports off.", 0, func(s *Settings) *time.Duration { return &s.Routing.Import }),
 	span("times.lease", "How long a VM may act on its configuration after it asked for the lease.", time.Millisecond, func(s *Settings) *time.Duration { return &s.Times.Lease }),
--- a/relay/vm/adapter.go
+++ b/relay/vm/adapter.go
@@ -18,6 +18,7 @@
 	Documents route.Codec
 	List      ListCodec
 	Engines   EngineCodec
+	Parts     PartsCodec
 	Ready     string
 	// Operators returns the handler of operators' calls.
 	Operators func(Operators) http.Handler
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -134,6 +134,10 @@
 		m.dispatch.Hear(message.From, digest)
 		return
 	}
+	if news := message.Body.GetNews(); news != nil {
+		hearNews(m.dispatch, news)
+		return
+	}
 	m.host.Deliver(message)
 }
 
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -46,7 +47,8 @@
 func newDispatcher(s settings.Settings) *dispatch.Dispatcher {
 	return dispatch.New(routing.New(
 		routing.WithPlace(s.Name, s.Centre, s.Region), routing.WithLinks(centreLink, regionLink), routing.WithSpan(routing.Everywhere),
-		routing.WithQueue(s.Limits.Queue), routing.WithPrefill(28*time.Microsecond),
+		routing.WithQueue(s.Limits.Queue), routing.WithPrefill(28*time.Microsecond), routing.WithPolicy(routing.Policy(s.Routing.Policy)),
+		routing.WithImport(s.Routing.Import), routing.WithSalt(saltOf),
 		routing.WithRandom(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))),
 	))
 }
@@ -157,7 +159,7 @@
 	ticket, err := p.dispatch.Acquire(ctx, dispatch.Request{
 		ID: w.ID, Account: catalogue.Account{Name: w.Scope},
 		Assistant: catalogue.Assistant{Name: w.Route.Name, Model: family(w.Service.Name, w.Ask.Model)},
-		Levels:    w.Levels, PromptTokens: w.Ask.Prompt, AnswerTokens: answer, Idempotent: w.Route.Repeatable(),
+		Levels:    w.Levels, Parts: w.Parts, Target: w.Route.Target, PromptTokens: w.Ask.Prompt, AnswerTokens: answer, Idempotent: w.Route.Repeatable(),
 		Deadline: deadline, Arrived: w.Arrived, Failed: w.Failed,
 	})
 	if err != nil {
@@ -173,11 +175,15 @@
 		return nil, err
 	}
 	p.log.WithFields(log.Fields{
-		"request": w.ID, "upstream": u.ID, "weights": weights, "prompt": w.Ask.Prompt, "age": time.Since(w.Arrived), "failed": len(w.Failed),
+		"request": w.ID, "upstream": u.ID, "weights": weights, "prompt": w.Ask.Prompt, "fetch": ticket.Fetch.Name, "age": time.Since(w.Arrived), "failed": len(w.Failed),
 	}).Info("placed")
+	var fetch netip.AddrPort
+	if ticket.Fetch.Name != "" {
+		fetch = ticket.Fetch.Address
+	}
 	incarnation := incarnationOf(u)
 	return &forward.Placement{
-		Upstream: u, Weights: weights, Priority: urgency(ticket.Priority, w), Salt: salt(w.Scope, w.Ask.Model, weights),
+		Upstream: u, Weights: weights, Priority: urgency(ticket.Priority, w), Salt: saltOf(w.Scope, routing.Version{Model: ticket.Upstream.Model, Weights: ticket.Upstream.Weights}), Fetch: fetch,
 		Begin: func() { ticket.FirstToken(incarnation) },
 		Finish: func(h forward.Heard) {
 			p.heard(u, w, h)
@@ -214,9 +220,9 @@
 	return urgencies*class + onceOnly
 }
 
-// salt keeps cached prompts apart that must not be shared: those of isolated accounts, and those made with other weights.
-func salt(scope, model string, weights uint64) string {
-	sum := sha256.Sum256([]byte(fmt.Sprintf("%d:%s%d:%s%d", len(scope), scope, len(model), model, weights)))
+// saltOf keeps cached prompts apart that must not be shared: those of isolated accounts, and those made with other weights.
+func saltOf(scope string, v routing.Version) string {
+	sum := sha256.Sum256([]byte(fmt.Sprintf("%d:%s%d:%s%s", len(scope), scope, len(v.Model), v.Model, v.Weights)))
 	return hex.EncodeToString(sum[:8])
 }
 
--- a/relay/vm/run.go
+++ b/relay/vm/run.go
@@ -38,7 +38,7 @@
 		fx.Provide(
 			newPool, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newForwarder, newCounters, newOrders, newOperators,
 		),
-		fx.Invoke(runControl, runPool, runWatch, runOrders, runRequests, runMetrics, runCallers),
+		fx.Invoke(runControl, runPool, runWatch, runParts, runOrders, runRequests, runMetrics, runCallers),
 		fx.Invoke(func(f failures, stop fx.Shutdowner) { f.watch(failed, stop) }),
 		fx.StartTimeout(startLimit), fx.StopTimeout(s.Times.Stop), fx.NopLogger,
 	)
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -28,7 +28,7 @@
 	// answerLimit bounds the bytes of an answer to a call of the product's own.
 	answerLimit = 4 << 20
 	// digestInterval is the interval at which VMs with callers share their view.
-	digestInterval = 500 * time.Millisecond
+	digestInterval = 150 * time.Millisecond
 	// mostNeighbours bounds the VMs that one VM shares its view with.
 	mostNeighbours = 12
 )
