--- a/coord/configuration/codec.go
+++ b/coord/configuration/codec.go
@@ -107,7 +107,7 @@
 	next.inForce, next.newest = state.GetInForce(), state.GetNewest()
 	next.objects = newObjects(decodeObjects(state.GetObjects()))
 	next.versions, next.kept, next.order = nil, map[string]*kept{}, nil
-	if next.newest != next.inForce && next.newest != next.inForce+1 {
+	if next.newest < next.inForce {
 		return damaged.Errorf("the snapshot has versions %d and %d: take the snapshot of another control VM", next.inForce, next.newest)
 	}
 	first := next.newest - uint64(len(state.GetHistory())) + 1
--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -60,7 +60,8 @@
 		c.adoptMembers(state.Entries)
 	}
 	c.unsaved = math.MaxUint64
-	c.resetDeadline()
+	// A group that starts together has no leader to wait for; where there is one, no vote is given against it.
+	c.deadline = c.election/4 + time.Duration(c.random.Int64N(int64(c.election)/2))
 	return c
 }
 
--- a/relay/forward/budget.go
+++ b/relay/forward/budget.go
@@ -64,6 +64,13 @@
 	b.service(service).Earn()
 }
 
+// Left reports whether Take would succeed.
+func (b *Budget) Left(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.service(service).Left()
+}
+
 // Take uses the budget for one more send and reports whether there was enough.
 func (b *Budget) Take(service string) bool {
 	b.mu.Lock()
--- a/relay/forward/forwarder.go
+++ b/relay/forward/forwarder.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -22,9 +23,10 @@
 	// writeTime limits one write to a caller that does not read.
 	writeTime = 5 * time.Second
 	// firstReturn is the time to come back for a VM that has no desired state yet.
-	firstReturn = 300 * time.Millisecond
-	// defaultWait is the time limit of a request whose caller names none and whose route has been taken away meanwhile.
-	defaultWait = 30 * time.Second
+	firstReturn = 500 * time.Millisecond
+	// startWait is how long a request waits at most for the first desired state, startStep the interval at which it looks.
+	startWait = 400 * time.Millisecond
+	startStep = 20 * time.Millisecond
 )
 
 // Forwarder serves callers by the routes of the desired state.
@@ -86,6 +88,30 @@
 	return f
 }
 
+// awaitTable holds the requests of a VM that has just started until it has a desired state, which it gets from the control VMs
+// within about a second; a request that waits that long is still of use.
+func (f *Forwarder) awaitTable(ctx context.Context) *route.Table {
+	if table := f.table(); table != nil {
+		return table
+	}
+	deadline := time.NewTimer(startWait)
+	defer deadline.Stop()
+	ticker := time.NewTicker(startStep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-deadline.C:
+			return nil
+		case <-ticker.C:
+			if table := f.table(); table != nil {
+				return table
+			}
+		}
+	}
+}
+
 // Stop makes each further answer the last one of its connection.
 func (f *Forwarder) Stop() { f.stopping.Store(true) }
 
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -49,7 +49,7 @@
 
 func (s *session) run() {
 	defer s.finish()
-	table := s.f.table()
+	table := s.f.awaitTable(s.r.Context())
 	if table == nil {
 		s.refuse(outcome.Refuse(outcome.NoConfiguration, "this VM has no desired state yet; come back shortly"), firstReturn)
 		return
@@ -149,6 +149,7 @@
 			s.fail(ctx, last)
 			return
 		}
+		s.work.Begun = s.begun
 		p, err := s.f.place(ctx, s.work)
 		if err != nil {
 			s.unplaced(ctx, err, last)
@@ -189,7 +190,7 @@
 	}
 	s.sends++
 	id := s.ask.ID
-	watch := s.watch(cancel)
+	watch := s.watch(cancel, p)
 	defer watch.stop()
 	answer, err := s.f.pool.Do(ctx, p.Upstream.Address, &connection.Request{
 		Method: s.r.Method, Target: s.target, Host: s.r.Host, Header: header, Body: s.body,
--- a/relay/forward/watch.go
+++ b/relay/forward/watch.go
@@ -7,9 +7,13 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 )
 
-// stallTime is the least time without a byte after which a resumable stream goes on at another upstream: well below the two
-// seconds after which callers leave, and above the pauses that a busy engine makes.
-const stallTime = 1200 * time.Millisecond
+const (
+	// stallTime is the time without an event after which a begun stream goes on at another upstream: well below the two seconds
+	// after which callers leave, and above the pauses that a busy engine makes.
+	stallTime = 1200 * time.Millisecond
+	// firstTime is that for the first event, which may wait behind other prompts.
+	firstTime = 1500 * time.Millisecond
+)
 
 // watch gives up an attempt that nothing comes from, where the request may be repeated. For others a silent upstream is no
 // reason to end an answer sooner.
@@ -18,21 +22,26 @@
 	limit time.Duration
 }
 
-func (s *session) watch(cancel context.CancelCauseFunc) *watch {
-	if !s.route.Repeatable() {
+func (s *session) watch(cancel context.CancelCauseFunc, p *Placement) *watch {
+	// The last attempt is not cut short: nothing could follow it.
+	if !s.route.Repeatable() || s.runs+1 >= max(1, s.route.Attempts)+s.resumes() {
 		return &watch{}
 	}
 	limit := stallTime
-	if s.route.Kind == route.Idempotent {
-		limit = max(stallTime/2, 2*s.route.Target)
-	} else {
-		limit = max(limit, 3*s.route.Target)
+	switch {
+	case s.route.Kind == route.Idempotent:
+		limit = max(stallTime/3, 2*s.route.Target)
+	case !s.begun:
+		limit = firstTime
 	}
-	// The last attempt is not cut short: nothing could follow it.
-	if left := time.Until(s.work.Until); left < limit || s.runs+1 >= max(1, s.route.Attempts)+s.resumes() {
+	if time.Until(s.work.Until) < limit {
 		return &watch{}
 	}
-	return &watch{limit: limit, timer: time.AfterFunc(limit, func() { cancel(errStalled) })}
+	return &watch{limit: limit, timer: time.AfterFunc(limit, func() {
+		if s.f.budget.Left(p.Upstream.Service) {
+			cancel(errStalled)
+		}
+	})}
 }
 
 // heard starts the time anew; with a pause objective the limit is that of the pauses between events.
--- a/relay/rollout/core.go
+++ b/relay/rollout/core.go
@@ -1,7 +1,9 @@
 package rollout
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -213,7 +215,7 @@
 			effects.Order = append(effects.Order, Order{ID: e.ID, Model: e.Model, Weights: e.Want, Number: c.lease.Number, Sequence: e.last.Sequence})
 		}
 	}
-	for _, e := range c.engines {
+	for _, e := range c.oldestFirst() {
 		if e.stage == serving && e.behind() && now >= e.earliest && loads+drains < 2*limit {
 			e.move(now, draining, effects)
 			drains++
@@ -227,6 +229,14 @@
 	}
 }
 
+// oldestFirst orders the engines by the weights that they serve: where weights are named faster than they can be rolled out, an
+// engine that waits must not be overtaken for ever by those that were just loaded.
+func (c *Core) oldestFirst() []*engine {
+	list := slices.Clone(c.engines)
+	slices.SortStableFunc(list, func(a, b *engine) int { return cmp.Compare(a.serves(), b.serves()) })
+	return list
+}
+
 // drained reports whether an engine may be ordered to load: its report is newer than the drain and shows no run that can't go on
 // elsewhere, or it has waited long enough. Without any report the number of its orders is not known.
 func (c *Core) drained(now time.Duration, e *engine) bool {
--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -34,7 +34,7 @@
 	news      []news
 	waste     Waste
 	found     []int32
-	newest    map[string]newest
+	named     map[string][]naming
 	parts     *parts
 	paces     []float64
 }
@@ -60,7 +60,7 @@
 		flights:  map[string]*flight{},
 		demand:   newDemand(s.times.HalfLife),
 		peers:    map[string]*neighbour{},
-		newest:   map[string]newest{},
+		named:    map[string][]naming{},
 		parts:    newParts(),
 	}
 }
--- a/relay/routing/options.go
+++ b/relay/routing/options.go
@@ -38,6 +38,8 @@
 	Stale time.Duration
 	// HalfLife is the time by which the demand for a prefix counts half.
 	HalfLife time.Duration
+	// Weights is the time after newer weights were named from which no request begins on older ones; 0 means never.
+	Weights time.Duration
 }
 
 // Link is what it costs to use an upstream elsewhere.
--- a/relay/routing/plan.go
+++ b/relay/routing/plan.go
@@ -79,9 +79,14 @@
 func (c *Core) plan(now time.Duration, f *flight, p *plan) bool {
 	regions := c.bounds(&f.request)
 	g := c.groupFor(now, &f.request, regions)
-	if g == nil {
-		return false
+	if c.policy == Reuse && f.request.Weights == "" {
+		g = c.cheapestGroup(now, f, regions)
 	}
+	return g != nil && c.planFor(now, f, p, g, regions)
+}
+
+// planFor prepares the choice among the upstreams of one group.
+func (c *Core) planFor(now time.Duration, f *flight, p *plan, g *group, regions uint64) bool {
 	f.group = g
 	*p = plan{
 		urgency: f.urgency, long: f.class >= longClass,
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -24,8 +24,8 @@
 	// that it sets, since callers reuse idle connections up to that.
 	headerTime = 10 * time.Second
 	idleTime   = 3 * time.Minute
-	// stopMargin is kept free at the end of a graceful shutdown for the control state.
-	stopMargin = 1500 * time.Millisecond
+	// stopMargin is kept free at the end of a graceful shutdown for the control state, which takes a few tens of milliseconds.
+	stopMargin = 400 * time.Millisecond
 	// activeInterval is the interval at which a stopping VM looks for requests in progress.
 	activeInterval = 50 * time.Millisecond
 )
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -38,6 +38,10 @@
 	patiencePauses  = 8
 )
 
+// weightsMargin is kept free between the last request that begins on older weights and the time by which none may: a request may
+// wait at its engine.
+const weightsMargin = 900 * time.Millisecond
+
 // Links of the routing core: round trips between data centres and regions, and what moving a prompt there is worth.
 var (
 	centreLink = routing.Link{RoundTrip: 2 * time.Millisecond, Price: 200 * time.Microsecond}
@@ -49,6 +53,7 @@
 		routing.WithPlace(s.Name, s.Centre, s.Region), routing.WithLinks(centreLink, regionLink), routing.WithSpan(routing.Everywhere),
 		routing.WithQueue(s.Limits.Queue), routing.WithPrefill(28*time.Microsecond), routing.WithPolicy(routing.Policy(s.Routing.Policy)),
 		routing.WithImport(s.Routing.Import), routing.WithSalt(saltOf),
+		routing.WithTimes(func(t *routing.Times) { t.Weights = s.Times.Weights - weightsMargin }),
 		routing.WithRandom(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))),
 	))
 }
@@ -149,7 +154,9 @@
 
 func (p *placer) engine(ctx context.Context, w *forward.Work) (*forward.Placement, error) {
 	deadline := w.Until.Sub(w.Arrived)
-	if !w.Begun {
+	if w.Begun {
+		deadline = 0
+	} else {
 		deadline = min(deadline, patience(w.Route))
 	}
 	answer := w.Ask.Answer
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -50,7 +50,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, listInterval, func() { w.list(ctx) })
+			go func() {
+				w.list(ctx)
+				every(ctx, listInterval, func() { w.list(ctx) })
+			}()
 			if s.Listeners.Callers.IsValid() {
 				go every(ctx, digestInterval, w.digest)
 			}
@@ -74,7 +77,7 @@
 // list reads the platform's list on the leader, and on a VM that has not heard of the leader's reading lately.
 func (w *watcher) list(ctx context.Context) {
 	leader := w.settings.Data != "" && leads(w.host)
-	if !leader && (w.settings.Data != "" || w.host.Now()-w.host.View().Listed < listSilence) {
+	if !leader && (w.settings.Data != "" || w.state.list.Load() != nil && w.host.Now()-w.host.View().Listed < listSilence) {
 		return
 	}
 	asked := w.host.Now()
