--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -124,6 +124,9 @@
 	return max(now, c.deadline)
 }
 
+// SetPeers replaces the names of the VMs to which a core outside the group announces itself.
+func (c *Core) SetPeers(names []string) { c.peers = names }
+
 // Leader returns the known leader, or the zero identity.
 func (c *Core) Leader() Identity { return c.leader }
 
--- a/relay/control/host.go
+++ b/relay/control/host.go
@@ -270,6 +270,11 @@
 	h.push(func(at Moment) (Effects, error) { return h.node.Publish(at, board, listed) })
 }
 
+// Seed replaces the control VMs that are known without the leader's roster.
+func (h *Host) Seed(names []string) {
+	h.push(func(at Moment) (Effects, error) { return h.node.Seed(at, names) })
+}
+
 // Shutdown gives up lease and leadership.
 func (h *Host) Shutdown() {
 	h.push(func(at Moment) (Effects, error) { return h.node.Shutdown(at) })
--- a/relay/control/roster.go
+++ b/relay/control/roster.go
@@ -58,6 +58,23 @@
 	n.effects.Roster = roster
 }
 
+// Seed replaces the control VMs that are known without the roster.
+func (n *Node) Seed(at Moment, names []string) (Effects, error) {
+	return n.step(at, func() error {
+		n.seeds = names
+		n.controls = slices.Clone(names)
+		for _, name := range n.roster.GetControls() {
+			if !slices.Contains(n.controls, name) {
+				n.controls = append(n.controls, name)
+			}
+		}
+		if n.voter != nil {
+			n.voter.core.SetPeers(names)
+		}
+		return nil
+	})
+}
+
 // Controls returns the control VMs that this VM knows.
 func (n *Node) Controls() []string { return slices.Clone(n.controls) }
 
--- a/relay/dispatch/digest.go
+++ b/relay/dispatch/digest.go
@@ -16,7 +16,7 @@
 	var digest routing.Digest
 	d.Read(func(now time.Duration, core *routing.Core) { digest = core.Digest(now) })
 	m := &peer.Digest{Outstanding: counts(digest.Outstanding), Accounts: counts(digest.Accounts)}
-	m.Prompts, m.Memory = counts(digest.Prompts), counts(digest.Memory)
+	m.Prompts, m.Memory, m.Light = counts(digest.Prompts), counts(digest.Memory), counts(digest.Light)
 	for _, hot := range digest.Hot {
 		m.Hot = append(m.Hot, &peer.Hot{Prefix: hot.Prefix, Rate: float32(hot.Rate)})
 	}
@@ -32,7 +32,7 @@
 
 // Hear takes a neighbour's digest.
 func (d *Dispatcher) Hear(vm string, m *peer.Digest) {
-	digest := routing.Digest{VM: vm, Outstanding: map[string]int{}, Accounts: map[string]int{}, Prompts: map[string]int{}, Memory: map[string]int{}}
+	digest := routing.Digest{VM: vm, Outstanding: map[string]int{}, Accounts: map[string]int{}, Prompts: map[string]int{}, Memory: map[string]int{}, Light: map[string]int{}}
 	for _, count := range m.GetOutstanding() {
 		digest.Outstanding[count.GetName()] = int(count.GetCount())
 	}
@@ -42,6 +42,9 @@
 	for _, count := range m.GetPrompts() {
 		digest.Prompts[count.GetName()] = int(count.GetCount())
 	}
+	for _, count := range m.GetLight() {
+		digest.Light[count.GetName()] = int(count.GetCount())
+	}
 	for _, count := range m.GetMemory() {
 		digest.Memory[count.GetName()] = int(count.GetCount())
 	}
--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -36,6 +36,7 @@
 	found     []int32
 	named     map[string][]naming
 	parts     *parts
+	lanes     map[string]*lane
 	paces     []float64
 }
 
@@ -62,6 +63,7 @@
 		peers:    map[string]*neighbour{},
 		named:    map[string][]naming{},
 		parts:    newParts(),
+		lanes:    map[string]*lane{},
 	}
 }
 
@@ -141,6 +143,9 @@
 	for _, g := range c.groups {
 		c.rate(now, g)
 	}
+	if c.policy == Reuse {
+		c.setLanes(now)
+	}
 	c.expire(now, effects)
 	c.pump(now, effects)
 }
--- a/relay/routing/digest.go
+++ b/relay/routing/digest.go
@@ -21,8 +21,10 @@
 	// Prompts are the prompt tokens not yet read and Memory those of all requests in progress, per upstream.
 	Prompts map[string]int
 	Memory  map[string]int
-	Hot     []Hot
-	Hints   []cache.Hint
+	// Light is the short work per model in milliseconds per second.
+	Light map[string]int
+	Hot   []Hot
+	Hints []cache.Hint
 }
 
 // Hot is the demand for a prefix.
@@ -37,6 +39,7 @@
 	outstanding map[string]int
 	prompts     map[string]int
 	memory      map[string]int
+	light       map[string]int
 }
 
 // Digest returns this VM's digest.
@@ -50,6 +53,10 @@
 		}
 	}
 	if c.policy == Reuse {
+		d.Light = map[string]int{}
+		for model, l := range c.lanes {
+			d.Light[model] = int(lightUnit * l.rate(now))
+		}
 		return d
 	}
 	d.Hints = c.takeNews(now)
@@ -99,7 +106,7 @@
 	if m.VM == c.vm {
 		return
 	}
-	c.peers[m.VM] = &neighbour{heard: now, outstanding: m.Outstanding, prompts: m.Prompts, memory: m.Memory}
+	c.peers[m.VM] = &neighbour{heard: now, outstanding: m.Outstanding, prompts: m.Prompts, memory: m.Memory, light: m.Light}
 	c.limits.Hear(now, m.VM, m.Accounts)
 	c.demand.hear(now, m.VM, m.Hot)
 	c.forgetPeers(now)
--- a/relay/routing/flight.go
+++ b/relay/routing/flight.go
@@ -76,6 +76,7 @@
 	}
 	u.backlog[f.urgency] += uncached
 	u.memory += f.request.PromptTokens
+	c.countLight(now, f, u)
 	u.group.busy.add(now, float64(uncached)*u.group.model.perToken.value)
 	u.awaiting = append(u.awaiting, a)
 	if probe {
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -298,6 +298,7 @@
 		}
 	}
 	e.total = total + loadPrice*g.busy.congestion*e.prefill/target.Seconds()
+	e.total += u.laneCost(p, p.tokens-max(cached, e.kept))
 	switch u.far {
 	case 1:
 		e.total += centrePrice
--- a/relay/routing/upstream.go
+++ b/relay/routing/upstream.go
@@ -30,6 +30,9 @@
 	othersPrompt int
 	othersAt     time.Duration
 	epoch        uint64
+	// light says that the engine is set aside for short prompts, laned that engines are.
+	light bool
+	laned bool
 	// backlog is this VM's prompt tokens sent there and not yet prefilled, by urgency.
 	backlog [classes]int
 	// wanted and wantedTokens are the queued requests that wait for this upstream, and their prefill work.
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -30,9 +30,17 @@
 	activeInterval = 50 * time.Millisecond
 )
 
-func newForwarder(s settings.Settings, st *state, pool *connection.Pool, p *placer, c *counters, logger log.Interface) *forward.Forwarder {
+// limitSetter takes up the limits of reloaded settings.
+type limitSetter func(settings.Limits)
+
+func newBudget(s settings.Settings) (*forward.Budget, limitSetter) {
 	budget := forward.NewBudget()
-	budget.Limit(s.Limits.Retries, s.Limits.Slack)
+	set := func(l settings.Limits) { budget.Limit(l.Retries, l.Slack) }
+	set(s.Limits)
+	return budget, set
+}
+
+func newForwarder(s settings.Settings, st *state, budget *forward.Budget, pool *connection.Pool, p *placer, c *counters, logger log.Interface) *forward.Forwarder {
 	f := forward.New(
 		forward.WithTable(st.table.Load), forward.WithDialect(st.adapter.Dialect), forward.WithPool(pool), forward.WithPlace(p.place),
 		forward.WithLog(logger), forward.WithBudget(budget), forward.WithMeasure(c.observe),
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -116,6 +117,8 @@
 	dispatch *dispatch.Dispatcher
 	name     string
 	callers  bool
+	mu       sync.Mutex
+	roster   *peer.Roster
 	dialled  map[string]bool
 	seeds    []string
 }
@@ -143,6 +146,22 @@
 
 // learn dials the VMs that are new in the roster and stops dialling those that are gone from it.
 func (m *meshes) learn(r *peer.Roster) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.roster = r
+	m.connect()
+}
+
+// seed replaces the control VMs that are known without the roster.
+func (m *meshes) seed(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = names
+	m.connect()
+}
+
+func (m *meshes) connect() {
+	r := m.roster
 	wanted := map[string]bool{}
 	for _, name := range m.seeds {
 		wanted[name] = true
--- a/relay/vm/run.go
+++ b/relay/vm/run.go
@@ -22,8 +22,12 @@
 	poolInterval = 5 * time.Second
 )
 
-// Run runs a VM until it is told to stop; the error is that of a part that could not start or go on.
-func Run(s settings.Settings, adapter Adapter) error {
+// Run runs the VM of a settings file until it is told to stop; the error is that of a part that could not start or go on.
+func Run(path string, adapter Adapter) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
 	handler := logbook.New(os.Stdout, logbook.WithLines(s.Limits.Lines))
 	defer handler.Close(flushLimit)
 	level, err := log.ParseLevel(s.Log)
@@ -34,11 +38,11 @@
 	logger.WithFields(log.Fields{"centre": s.Centre, "first": s.Discovered.First, "seeds": len(s.Discovered.Seeds), "data": s.Data}).Info("start")
 	failed := make(chan error, 1)
 	app := fx.New(
-		fx.Supply(s, adapter, fx.Annotate(logger, fx.As(new(log.Interface)))),
+		fx.Supply(s, settingsFile(path), adapter, fx.Annotate(logger, fx.As(new(log.Interface)))),
 		fx.Provide(
-			newPool, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newForwarder, newCounters, newOrders, newOperators,
+			newPool, newBudget, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newForwarder, newCounters, newOrders, newOperators,
 		),
-		fx.Invoke(runControl, runPool, runWatch, runParts, runOrders, runRequests, runMetrics, runCallers),
+		fx.Invoke(runControl, runPool, runWatch, runParts, runOrders, runRequests, runMetrics, runReload, runCallers),
 		fx.Invoke(func(f failures, stop fx.Shutdowner) { f.watch(failed, stop) }),
 		fx.StartTimeout(startLimit), fx.StopTimeout(s.Times.Stop), fx.NopLogger,
 	)
