--- a/relay/balance/core.go
+++ b/relay/balance/core.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,6 +18,8 @@
 	usualWork = 40 * time.Millisecond
 	// failurePrice is the expected time that a request loses at a replica that fails all of them.
 	failurePrice = 600 * time.Millisecond
+	// failureMemory is the half-life of failures, so that a replica that gets no requests is tried again.
+	failureMemory = 2 * time.Second
 	// memory is the weight of one observation in the running means.
 	memory = 0.1
 )
@@ -47,8 +50,9 @@
 	failures int
 	blocked  time.Duration
 	// failed is the running share of requests that broke there.
-	failed float64
-	used   time.Duration
+	failed   float64
+	failedAt time.Duration
+	used     time.Duration
 }
 
 // Core decides for all plain services.
@@ -114,10 +118,15 @@
 	queued := max(0, busy-slots+1)
 	// A replica slows down when it is nearly full.
 	crowd := 1 + float64(min(busy, slots))/float64(slots)/2
-	cost := candidate.Link.Seconds() + work*pace*(crowd+float64(queued)/float64(slots)) + r.failed*failurePrice.Seconds()
+	cost := candidate.Link.Seconds() + work*pace*(crowd+float64(queued)/float64(slots)) + r.recentFailures(now)*failurePrice.Seconds()
 	return cost * (1 + 0.02*c.random.Float64())
 }
 
+// recentFailures returns the share of failures as of now.
+func (r *replica) recentFailures(now time.Duration) float64 {
+	return r.failed * math.Exp2(-float64(now-r.failedAt)/float64(failureMemory))
+}
+
 // Sent counts a request at a replica; exactly one of Ended, Failed and Refused follows.
 func (c *Core) Sent(now time.Duration, id string) {
 	r := c.replica(id)
@@ -141,7 +150,9 @@
 func (c *Core) Failed(now time.Duration, id string) {
 	r := c.leave(now, id, nil)
 	r.failures++
+	r.failed = r.recentFailures(now)
 	r.failed += (1 - r.failed) * memory * 2
+	r.failedAt = now
 	r.blocked = now + min(lastPause, firstPause<<min(r.failures-1, 6))
 }
 
--- /dev/null
+++ b/relay/forward/forward_test.go
@@ -0,0 +1,361 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/route"
+)
+
+// dialect is a dialect with headers of the tests' own.
+var dialect = forward.Dialect{
+	Read: func(h http.Header) forward.Ask {
+		ask := forward.Ask{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Resume: h.Get("Last-Event-Id")}
+		if ms, err := strconv.Atoi(h.Get("X-Wait")); err == nil {
+			ask.Wait = time.Duration(ms) * time.Millisecond
+		}
+		return ask
+	},
+	Write: func(h http.Header, o forward.Order) {
+		h.Del("X-Key")
+		h.Del("Last-Event-Id")
+		h.Set("X-Account", o.Account)
+		h.Set("X-Upstream", o.Upstream)
+		h.Set("X-Left", strconv.FormatInt(o.Left.Milliseconds(), 10))
+		if o.Resume != "" {
+			h.Set("Last-Event-Id", o.Resume)
+		}
+	},
+	Hear: func(_ int, h http.Header) forward.Heard {
+		return forward.Heard{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Whole: h.Get("X-Whole") != ""}
+	},
+}
+
+const state = `{"version": 1,
+	"routes": [
+		{"name": "read", "host": "h", "prefix": "/read/", "kind": "idempotent", "timeout": "3s", "target": "200ms", "split": {"plain": 1}, "attempts": 2},
+		{"name": "book", "host": "h", "prefix": "/book/", "kind": "unsafe", "timeout": "3s", "target": "200ms", "split": {"plain": 1}, "attempts": 1},
+		{"name": "check", "host": "h", "prefix": "/check/", "kind": "stream", "timeout": "3s", "target": "400ms", "split": {"plain": 1}, "attempts": 1},
+		{"name": "note", "host": "h", "prefix": "/note/", "kind": "stream", "timeout": "3s", "target": "400ms", "split": {"plain": 1}, "attempts": 2, "resumable": true},
+		{"name": "open", "host": "h", "prefix": "/open/", "kind": "idempotent", "timeout": "3s", "split": {"plain": 1}, "public": true},
+		{"name": "brief", "host": "h", "prefix": "/brief/", "kind": "unsafe", "timeout": "100ms", "split": {"plain": 1}}
+	],
+	"services": [{"name": "plain"}],
+	"limits": {"body": 1000},
+	"accounts": [{"name": "baths", "keys": ["k"]}]}`
+
+// upstreams hands out placements at a list of upstreams in turn and notes how they ended.
+type upstreams struct {
+	mu    sync.Mutex
+	list  []directory.Upstream
+	taken int
+	ends  []string
+}
+
+func (u *upstreams) end(what string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ends = append(u.ends, what)
+}
+
+func (u *upstreams) place(_ context.Context, _ *forward.Work) (*forward.Placement, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.taken >= len(u.list) {
+		return nil, outcome.Refuse(outcome.NoUpstream, "none is left")
+	}
+	chosen := &u.list[u.taken]
+	u.taken++
+	return &forward.Placement{
+		Upstream: chosen, Begin: func() {},
+		Finish: func(forward.Heard) { u.end("finished") },
+		Fail: func(f forward.Failure) {
+			if f.NotRun {
+				u.end("not run")
+				return
+			}
+			u.end("failed")
+		},
+		Cancel: func() { u.end("cancelled") },
+	}, nil
+}
+
+// raw is an upstream that reads one request per connection and then speaks freely.
+func raw(speak func(conn net.Conn, r *http.Request)) directory.Upstream {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					speak(conn, r)
+				}
+			}()
+		}
+	}()
+	return directory.Upstream{ID: listener.Addr().String(), Address: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+func says(status int, headers, body string) directory.Upstream {
+	return raw(func(conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Whole: 1\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Id"), headers, len(body), body)
+	})
+}
+
+var chunked = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Whole: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: t%d\n\n", n, n) }
+
+// breaks sends some events and half of another one, and then ends the connection.
+func breaks(events ...int) directory.Upstream {
+	return raw(func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, chunked)
+		for _, n := range events {
+			_, _ = io.WriteString(conn, chunk(event(n)))
+		}
+		_, _ = io.WriteString(conn, "20\r\nid: 99\nda")
+	})
+}
+
+var _ = Describe("forwarder", func() {
+	var ups *upstreams
+	var server *httptest.Server
+	var table *route.Table
+
+	BeforeEach(func() {
+		ups = &upstreams{}
+		decoded, err := route.Own.Decode([]byte(state))
+		Expect(err).NotTo(HaveOccurred())
+		table = route.NewTable(decoded)
+		pool := connection.NewPool()
+		f := forward.New(
+			forward.WithTable(func() *route.Table { return table }), forward.WithDialect(dialect), forward.WithPool(pool),
+			forward.WithPlace(ups.place), forward.WithLog(&log.Logger{Handler: discard.Default}),
+		)
+		server = httptest.NewServer(f)
+		DeferCleanup(server.Close)
+		DeferCleanup(pool.Close)
+	})
+
+	request := func(method, path, body string, headers ...string) (*http.Response, string, error) {
+		r, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "h"
+		r.Header.Set("X-Id", "1")
+		r.Header.Set("X-Key", "k")
+		for i := 0; i+1 < len(headers); i += 2 {
+			r.Header.Set(headers[i], headers[i+1])
+		}
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return nil, "", err
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return response, string(text), err
+	}
+	expectStatus := func(status int, path string, headers ...string) *http.Response {
+		GinkgoHelper()
+		response, _, err := request(http.MethodPost, path, "", headers...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(status))
+		return response
+	}
+
+	It("returns status, headers and body unchanged, with the account in place of the key", func() {
+		var seen *http.Request
+		ups.list = []directory.Upstream{raw(func(conn net.Conn, r *http.Request) {
+			seen = r
+			_, _ = io.WriteString(conn, "HTTP/1.1 201 X\r\nX-Id: 1\r\nX-Whole: 1\r\nX-Stamp: s\r\nConnection: X-Hop\r\nX-Hop: h\r\nContent-Length: 3\r\n\r\nabc")
+		})}
+		response, body, err := request(http.MethodPost, "/book/x?y=%20z", "text", "X-Other", "o")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(201))
+		Expect(body).To(Equal("abc"))
+		Expect(response.Header.Get("X-Stamp")).To(Equal("s"))
+		Expect(response.Header).NotTo(HaveKey("X-Hop"))
+		Expect(response.Header).NotTo(HaveKey("Content-Type"))
+		Expect(seen.RequestURI).To(Equal("/book/x?y=%20z"))
+		Expect(seen.Header.Get("X-Other")).To(Equal("o"))
+		Expect(seen.Header.Get("X-Account")).To(Equal("baths"))
+		Expect(seen.Header).NotTo(HaveKey("X-Key"))
+		Expect(ups.ends).To(Equal([]string{"finished"}))
+	})
+
+	It("refuses what the desired state does not allow", func() {
+		expectStatus(http.StatusNotFound, "/none/")
+		expectStatus(http.StatusUnauthorized, "/read/", "X-Key", "wrong")
+		response, _, err := request(http.MethodPost, "/read/", strings.Repeat("x", 1001))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(ups.taken).To(BeZero())
+	})
+
+	It("needs no key on a public route", func() {
+		ups.list = []directory.Upstream{says(200, "", "ok")}
+		expectStatus(http.StatusOK, "/open/", "X-Key", "")
+	})
+
+	It("answers 503 with a time to come back before it knows a desired state", func() {
+		table = nil
+		Expect(expectStatus(http.StatusServiceUnavailable, "/read/").Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("says 'not run' with a time to come back where no upstream takes the request", func() {
+		Expect(expectStatus(http.StatusServiceUnavailable, "/book/").Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("sends a request elsewhere that an upstream has not run, also where it must not run twice", func() {
+		ups.list = []directory.Upstream{says(503, "X-Not-Run: 1\r\n", ""), says(200, "", "ok")}
+		expectStatus(http.StatusOK, "/book/")
+		Expect(ups.ends).To(Equal([]string{"not run", "finished"}))
+	})
+
+	It("never sends a request again that may have run and must not run twice", func() {
+		ups.list = []directory.Upstream{raw(func(net.Conn, *http.Request) {}), says(200, "", "ok")}
+		Expect(expectStatus(http.StatusBadGateway, "/book/").Header.Get("Retry-After")).To(BeEmpty())
+		Expect(ups.taken).To(Equal(1))
+	})
+
+	It("repeats an idempotent request after a broken answer and after a failure, within its attempts", func() {
+		ups.list = []directory.Upstream{raw(func(net.Conn, *http.Request) {}), says(200, "", "ok")}
+		expectStatus(http.StatusOK, "/read/")
+		ups.list, ups.taken = []directory.Upstream{says(500, "", "no"), says(500, "", "no"), says(200, "", "ok")}, 0
+		expectStatus(http.StatusInternalServerError, "/read/")
+		Expect(ups.taken).To(Equal(2))
+	})
+
+	It("passes on an upstream's own failure of a request that must not run twice", func() {
+		ups.list = []directory.Upstream{says(500, "", "no"), says(200, "", "ok")}
+		expectStatus(http.StatusInternalServerError, "/book/")
+		Expect(ups.taken).To(Equal(1))
+	})
+
+	It("ends a request with 504 when its route's time is over", func() {
+		hold := make(chan struct{})
+		DeferCleanup(func() { close(hold) })
+		ups.list = []directory.Upstream{raw(func(net.Conn, *http.Request) { <-hold })}
+		expectStatus(http.StatusGatewayTimeout, "/brief/")
+		Expect(ups.ends).To(Equal([]string{"cancelled"}))
+	})
+
+	It("hands an upstream no more time than is left", func() {
+		var left string
+		ups.list = []directory.Upstream{raw(func(conn net.Conn, r *http.Request) {
+			left = r.Header.Get("X-Left")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nX-Id: 1\r\nX-Whole: 1\r\nContent-Length: 0\r\n\r\n")
+		})}
+		expectStatus(http.StatusOK, "/book/", "X-Wait", "700")
+		ms, err := strconv.Atoi(left)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ms).To(And(BeNumerically(">", 0), BeNumerically("<=", 700)))
+	})
+
+	It("goes on with a resumable stream at another upstream, each whole event once and in order", func() {
+		var resumed string
+		ups.list = []directory.Upstream{breaks(1, 2), raw(func(conn net.Conn, r *http.Request) {
+			resumed = r.Header.Get("Last-Event-Id")
+			_, _ = io.WriteString(conn, chunked+chunk(event(2))+chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+		})}
+		_, body, err := request(http.MethodPost, "/note/", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(event(1) + event(2) + event(3) + event(4)))
+		Expect(resumed).To(Equal("2"))
+	})
+
+	It("breaks a stream off that can't be resumed, so that it does not look complete", func() {
+		ups.list = []directory.Upstream{breaks(1, 2), says(200, "", "")}
+		_, body, err := request(http.MethodPost, "/check/", "")
+		Expect(err).To(HaveOccurred())
+		Expect(body).To(Equal(event(1) + event(2)))
+		Expect(ups.taken).To(Equal(1))
+	})
+
+	It("stops the upstream's work when the caller leaves", func() {
+		left := make(chan struct{})
+		ups.list = []directory.Upstream{raw(func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, chunked+chunk(event(1)))
+			_, _ = conn.Read(make([]byte, 1))
+			close(left)
+		})}
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/note/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "h"
+		r.Header.Set("X-Id", "1")
+		r.Header.Set("X-Key", "k")
+		response, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		cancel()
+		Eventually(left, "2s").Should(BeClosed())
+		Eventually(func() []string {
+			ups.mu.Lock()
+			defer ups.mu.Unlock()
+			return ups.ends
+		}, "2s").Should(Equal([]string{"cancelled"}))
+	})
+
+	It("drops an answer to another request that comes first on the connection", func() {
+		ups.list = []directory.Upstream{raw(func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nX-Id: other\r\nX-Whole: 1\r\nContent-Length: 5\r\n\r\nwrong")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nX-Id: 1\r\nX-Whole: 1\r\nContent-Length: 5\r\n\r\nright")
+		})}
+		_, body, err := request(http.MethodPost, "/book/", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("right"))
+	})
+})
+
+var _ = Describe("budget", func() {
+	It("allows a share of the requests and a part of the common slack, not more", func() {
+		b := forward.NewBudget()
+		b.Limit(0.2, 40)
+		b.Share(8)
+		taken := 0
+		for range 100 {
+			b.Earn("s")
+		}
+		for b.Take("s") {
+			taken++
+		}
+		Expect(taken).To(Equal(4))
+		for range 100 {
+			b.Earn("s")
+			if b.Take("s") {
+				taken++
+			}
+		}
+		Expect(taken).To(BeNumerically("<=", 4+20))
+
+	})
+})
--- /dev/null
+++ b/relay/route/route_test.go
@@ -0,0 +1,95 @@
+package route_test
+
+import (
+	"errors"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/route"
+)
+
+const document = `{
+	"version": 7,
+	"routes": [
+		{"name": "all", "host": "Jepu9.example", "prefix": "/a/", "kind": "idempotent", "timeout": "1s", "target": "200ms", "split": {"plain": 1}, "attempts": 2},
+		{"name": "deep", "host": "jepu9.example", "prefix": "/a/b/", "kind": "stream", "timeout": "5s", "split": {"engines": 9, "plain": 1}, "resumable": true}
+	],
+	"services": [{"name": "plain"}, {"name": "engines", "engine": {"slots": 96, "memory": 81468}}],
+	"limits": {"headers": 16384, "body": 1048576, "header": "3s", "idle": "15s"},
+	"accounts": [{"name": "baths", "keys": ["k1", "k2"], "isolated": true}]
+}`
+
+func decode(text string) (*route.State, error) { return route.Own.Decode([]byte(text)) }
+
+func table() *route.Table {
+	GinkgoHelper()
+	state, err := decode(document)
+	Expect(err).NotTo(HaveOccurred())
+	return route.NewTable(state)
+}
+
+var _ = Describe("table", func() {
+	DescribeTable("finds the route with the longest prefix that begins the path",
+		func(host, path, name string) {
+			r := table().Route(host, path)
+			if name == "" {
+				Expect(r).To(BeNil())
+				return
+			}
+			Expect(r.Name).To(Equal(name))
+		},
+		Entry("a short prefix", "jepu9.example", "/a/x", "all"),
+		Entry("the longer of two", "jepu9.example", "/a/b/x", "deep"),
+		Entry("a host in another case and with a port", "JEPU9.example:80", "/a/", "all"),
+		Entry("a path that only begins like a prefix", "jepu9.example", "/ab", ""),
+		Entry("another host", "other.example", "/a/x", ""),
+	)
+
+	It("finds accounts by each of their keys and by no other", func() {
+		t := table()
+		Expect(t.Account("k1").Name).To(Equal("baths"))
+		Expect(t.Account("k2").Isolated).To(BeTrue())
+		Expect(t.Account("k")).To(BeNil())
+		Expect(t.Account("")).To(BeNil())
+	})
+
+	It("splits requests by weight, and a weight of 0 gets none", func() {
+		r := table().Route("jepu9.example", "/a/b/")
+		Expect(r.Choose(0)).To(Equal("engines"))
+		Expect(r.Choose(0.89)).To(Equal("engines"))
+		Expect(r.Choose(0.95)).To(Equal("plain"))
+		zero := route.Route{Split: []route.Share{{Service: "none", Weight: 0}, {Service: "all", Weight: 3}}}
+		Expect(zero.Choose(0)).To(Equal("all"))
+	})
+
+	It("repeats idempotent requests and resumable streams only", func() {
+		Expect((&route.Route{Kind: route.Idempotent}).Repeatable()).To(BeTrue())
+		Expect((&route.Route{Kind: route.Stream, Resumable: true}).Repeatable()).To(BeTrue())
+		Expect((&route.Route{Kind: route.Stream}).Repeatable()).To(BeFalse())
+		Expect((&route.Route{Kind: route.Unsafe, Resumable: true}).Repeatable()).To(BeFalse())
+	})
+})
+
+var _ = Describe("document", func() {
+	DescribeTable("is refused with the place at fault",
+		func(old, changed, field string) {
+			_, err := decode(strings.Replace(document, old, changed, 1))
+			var invalid *route.Invalid
+			Expect(errors.As(err, &invalid)).To(BeTrue(), "%v", err)
+			Expect(invalid.Error()).To(ContainSubstring(field))
+		},
+		Entry("cut short", `"isolated": true}]`, `"isolated": tr`, "document"),
+		Entry("an unknown field", `"version"`, `"size"`, "document"),
+		Entry("an unknown service", `"split": {"plain": 1}`, `"split": {"other": 1}`, "other"),
+		Entry("the same host and prefix twice, in another case", `"/a/b/"`, `"/a/"`, "all and deep"),
+		Entry("no weight above 0", `{"plain": 1}`, `{"plain": 0}`, "all"),
+		Entry("a negative weight", `{"plain": 1}`, `{"plain": -1}`, "all"),
+		Entry("no timeout", `"timeout": "1s"`, `"timeout": "0s"`, "all"),
+		Entry("an unknown kind", `"idempotent"`, `"often"`, "all"),
+		Entry("a prefix without its slash", `"/a/"`, `"/a"`, "all"),
+		Entry("a service named twice", `{"name": "plain"}`, `{"name": "engines"}`, "engines"),
+		Entry("a key shared by two accounts", `"accounts": [`, `"accounts": [{"name": "co-op", "keys": ["k2"]}, `, "share a key"),
+	)
+})
