--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
+	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 )
 
 // maxSends bounds the sends of one request, whatever the budget allows.
@@ -127,7 +127,7 @@
 	}
 	s.work.Levels = levels(s.work.Scope, s.ask.Parts)
 	for _, part := range s.ask.Parts {
-		s.work.Parts = append(s.work.Parts, xxhash.Sum64String(part.ID))
+		s.work.Parts = append(s.work.Parts, routing.PartHash(part.ID))
 	}
 	s.target = s.r.RequestURI
 	if !strings.HasPrefix(s.target, "/") {
--- /dev/null
+++ b/relay/logbook/handler_test.go
@@ -0,0 +1,92 @@
+package logbook_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/logbook"
+)
+
+// output is a pipe that may be blocked.
+type output struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	blocked chan struct{}
+}
+
+func (o *output) Write(line []byte) (int, error) {
+	if o.blocked != nil {
+		<-o.blocked
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(line)
+}
+
+func (o *output) lines() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Split(strings.TrimSuffix(o.text.String(), "\n"), "\n")
+}
+
+var _ = Describe("logbook", func() {
+	now := time.Date(2026, 1, 1, 10, 0, 0, 0, time.UTC)
+	logger := func(o *output, lines int) (*log.Logger, *logbook.Handler) {
+		handler := logbook.New(o, logbook.WithLines(lines), logbook.WithNow(func() time.Time { return now }))
+		return &log.Logger{Handler: handler, Level: log.InfoLevel}, handler
+	}
+
+	It("writes one line with the fields by name and quotes what needs it", func() {
+		o := &output{}
+		l, handler := logger(o, 10)
+		l.WithFields(log.Fields{"request": "9c41", "age": 1500 * time.Microsecond, "cause": "it broke", "empty": ""}).Info("attempt broke")
+		handler.Close(time.Second)
+		Expect(o.lines()).To(Equal([]string{`time=10:00:00.000 level=info event="attempt broke" age=1.5ms cause="it broke" empty="" request=9c41`}))
+	})
+
+	It("drops routine lines beyond the budget before warnings, and says how many", func() {
+		o := &output{}
+		l, handler := logger(o, 10)
+		for range 20 {
+			l.Info("routine")
+		}
+		l.Warn("lost the leader")
+		handler.Close(time.Second)
+		text := strings.Join(o.lines(), "\n")
+		Expect(strings.Count(text, "event=routine")).To(Equal(8))
+		Expect(text).To(ContainSubstring(`event="log lines dropped" lines=12`))
+		Expect(text).To(ContainSubstring(`event="lost the leader"`))
+	})
+
+	It("never blocks its caller while the output is blocked, and says afterwards what was dropped", func() {
+		o := &output{blocked: make(chan struct{})}
+		l, handler := logger(o, 1_000_000)
+		finished := make(chan struct{})
+		go func() {
+			for range 10_000 {
+				l.Info("routine")
+			}
+			close(finished)
+		}()
+		Eventually(finished, "5s").Should(BeClosed())
+		close(o.blocked)
+		Eventually(func() int { return len(o.lines()) }, "5s").Should(BeNumerically(">", 100))
+		l.Info("later")
+		handler.Close(time.Second)
+		Expect(strings.Join(o.lines(), "\n")).To(ContainSubstring("log lines dropped"))
+	})
+
+	It("takes no lines after its end", func() {
+		o := &output{}
+		l, handler := logger(o, 10)
+		handler.Close(time.Second)
+		l.Info("late")
+		Expect(o.lines()).To(Equal([]string{""}))
+	})
+})
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -349,3 +349,6 @@
 		c.parts.add(now, key, u.handle)
 	}
 }
+
+// PartHash identifies a part's ID in Request.Parts.
+func PartHash(id string) uint64 { return xxhash.Sum64String(id) }
--- /dev/null
+++ b/relay/routing/reuse_test.go
@@ -0,0 +1,274 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
+	"github.com/chicoryrelay/chicoryrelay/relay/prompt"
+	"github.com/chicoryrelay/chicoryrelay/relay/routing"
+)
+
+func saltFor(account string, v routing.Version) string {
+	return account + "/" + v.Model + "/" + v.Weights
+}
+
+// reuseCore returns a core with the reuse policy before engines with memory for eight long prompts.
+func reuseCore(n int, change ...func(i int, u *catalogue.Upstream)) *routing.Core {
+	change = append([]func(int, *catalogue.Upstream){func(_ int, u *catalogue.Upstream) { u.Slots, u.Cache = 96, 81_000 }}, change...)
+	return newCore(fleet(n, change...), routing.WithPolicy(routing.Reuse), routing.WithSalt(saltFor), routing.WithPrefill(28*time.Microsecond),
+		routing.WithImport(4*time.Microsecond), routing.WithTimes(func(t *routing.Times) { t.Weights = 7 * time.Second }))
+}
+
+// partly returns a request whose prompt has the given parts, of which the last belongs to the request.
+func partly(id string, parts ...int) routing.Request {
+	r := routing.Request{ID: id, Model: "m", AnswerTokens: 10, Target: 600 * time.Millisecond}
+	hash := uint64(1)
+	for i, tokens := range parts {
+		part := fmt.Sprintf("part-%d-%d", i, tokens)
+		if i == len(parts)-1 {
+			part = id
+		}
+		key := routing.PartHash(part)
+		hash = hash*31 + key
+		r.PromptTokens += tokens
+		r.Parts = append(r.Parts, key)
+		r.Levels = append(r.Levels, prompt.Level{Hash: hash, Tokens: r.PromptTokens})
+	}
+	return r
+}
+
+// decideAt decides and fails the test on a refusal or a place in the queue.
+func decideAt(core *routing.Core, now time.Duration, r routing.Request) routing.Decision {
+	GinkgoHelper()
+	d := core.Decide(now, r)
+	Expect(d.Refusal).To(BeNil())
+	Expect(d.Queued).To(BeFalse())
+	return d
+}
+
+func finish(core *routing.Core, now time.Duration, r routing.Request, upstream string) {
+	core.Step(now, routing.FirstToken{ID: r.ID, Upstream: upstream, Incarnation: 1})
+	core.Step(now, routing.Finished{ID: r.ID, Upstream: upstream, Incarnation: 1, PromptTokens: r.PromptTokens, Uncounted: true})
+}
+
+var _ = Describe("reuse policy", func() {
+	It("sends a request where its shared parts are, which spares their prefill", func() {
+		core := reuseCore(4)
+		r := partly("1", 2500, 3800, 2900)
+		first := decideAt(core, 0, r)
+		finish(core, 300*time.Millisecond, r, first.Upstream)
+		for i := range 6 {
+			id := fmt.Sprint(10 + i)
+			now := time.Duration(i+1) * time.Second
+			r := partly(id, 2500, 3800, 2900)
+			d := decideAt(core, now, r)
+			Expect(d.Upstream).To(Equal(first.Upstream))
+			Expect(d.Cached).To(Equal(6300))
+			finish(core, now+100*time.Millisecond, r, d.Upstream)
+		}
+	})
+
+	It("chooses the same engine on every VM for parts that nobody holds yet", func() {
+		a, b := reuseCore(6), reuseCore(6)
+		for i := range 5 {
+			r := partly(fmt.Sprint(i), 2500, 3800+i, 2900)
+			chosen := decideAt(a, 0, r).Upstream
+			Expect(decideAt(b, 0, r).Upstream).To(Equal(chosen))
+			finish(a, 250*time.Millisecond, r, chosen)
+			finish(b, 250*time.Millisecond, r, chosen)
+		}
+	})
+
+	It("spreads a burst about one hot prompt over engines, which fetch the parts instead of reading them again", func() {
+		core := reuseCore(4)
+		r := partly("0", 2500, 3800, 2900)
+		finish(core, 300*time.Millisecond, r, decideAt(core, 0, r).Upstream)
+		went, fetched := map[string]int{}, 0
+		for i := range 12 {
+			d := decideAt(core, time.Second, partly(fmt.Sprint(i+1), 2500, 3800, 2900))
+			went[d.Upstream]++
+			if d.Fetch != "" {
+				fetched++
+				Expect(d.Cached).To(Equal(6300))
+			}
+		}
+		Expect(len(went)).To(BeNumerically(">=", 3))
+		Expect(fetched).To(BeNumerically(">=", 2))
+	})
+
+	It("relies on no part of another account, of other weights, or of a life that has ended", func() {
+		core := reuseCore(1)
+		r := partly("1", 2500, 3800, 2900)
+		first := decideAt(core, 0, r)
+		finish(core, 300*time.Millisecond, r, first.Upstream)
+		expectUncached := func(now time.Duration, r routing.Request) {
+			GinkgoHelper()
+			Expect(decideAt(core, now, r).Cached).To(BeZero())
+			finish(core, now+300*time.Millisecond, r, "u0")
+		}
+		other := partly("2", 2500, 3800, 2900)
+		other.Account = "isolated"
+		expectUncached(time.Second, other)
+		core.Step(2*time.Second, routing.Parts{Upstream: "u0", Epoch: 5})
+		expectUncached(2*time.Second, partly("3", 2500, 3800, 2900))
+		core.Step(3*time.Second, routing.Upstreams{List: fleet(1, func(_ int, u *catalogue.Upstream) { u.Weights, u.Slots, u.Cache = "2", 96, 81_000 })})
+		expectUncached(3*time.Second, partly("4", 2500, 3800, 2900))
+	})
+
+	It("believes the engines' own news: a part that was dropped is no longer counted on", func() {
+		core := reuseCore(1)
+		var keys []uint64
+		for _, part := range []string{"part-0-2500", "part-1-3800"} {
+			keys = append(keys, routing.PartKey(saltFor("", routing.Version{Model: "m", Weights: "1"}), part))
+		}
+		core.Step(0, routing.Parts{Upstream: "u0", Epoch: 1, Added: keys})
+		r := partlyNamed("1", []string{"part-0-2500", "part-1-3800", "own"}, 2500, 3800, 2900)
+		found := core.Decide(0, r)
+		Expect(found.Cached).To(Equal(6300))
+		finish(core, 90*time.Millisecond, r, "u0")
+		core.Step(0, routing.Parts{Upstream: "u0", Epoch: 1, Removed: keys[1:]})
+		found = core.Decide(time.Second, partlyNamed("2", []string{"part-0-2500", "part-1-3800", "own2"}, 2500, 3800, 2900))
+		Expect(found.Cached).To(Equal(2500))
+	})
+
+	It("prefers new weights once answers on older ones lose worth, and never begins on outdated ones", func() {
+		weights := func(i int, u *catalogue.Upstream) {
+			u.Slots, u.Cache, u.Weights = 96, 81_000, "1"
+			if i < 2 {
+				u.Weights = "2"
+			}
+		}
+		core := reuseCore(4, weights)
+		core.Step(0, routing.Newest{Model: "m", Weights: "2"})
+		for i := range 6 {
+			now := 2*time.Second + time.Duration(i)*50*time.Millisecond
+			r := partly(fmt.Sprint(i), 500, 300)
+			d := decideAt(core, now, r)
+			Expect(d.Weights).To(Equal("2"))
+			finish(core, now+30*time.Millisecond, r, d.Upstream)
+		}
+		core.Step(3*time.Second, routing.Upstreams{List: fleet(4, weights, func(i int, u *catalogue.Upstream) {
+			if i < 2 {
+				u.State = catalogue.Draining
+			}
+		})})
+		r := partly("old", 500, 300)
+		old := decideAt(core, 3*time.Second, r)
+		Expect(old.Weights).To(Equal("1"))
+		finish(core, 3030*time.Millisecond, r, old.Upstream)
+		Expect(core.Decide(8*time.Second, partly("late", 500, 300)).Refusal).NotTo(BeNil())
+	})
+})
+
+// partlyNamed returns a request with parts of the given names.
+func partlyNamed(id string, names []string, tokens ...int) routing.Request {
+	r := routing.Request{ID: id, Model: "m", AnswerTokens: 10, Target: 600 * time.Millisecond}
+	for i, name := range names {
+		r.PromptTokens += tokens[i]
+		r.Parts = append(r.Parts, routing.PartHash(name))
+		r.Levels = append(r.Levels, prompt.Level{Hash: uint64(i + 1), Tokens: r.PromptTokens})
+	}
+	return r
+}
+
+// load is a wave of long checks and short notes over some seconds, as on the users' heaviest days: checks of 9,190 tokens about
+// eighty books in four families, notes of 826 tokens.
+type load struct {
+	checks, notes float64
+}
+
+// play returns, per second, how many engines got checks, notes or both.
+func (l load) play(core *routing.Core, seconds int) (checks, notes, both map[string]int) {
+	random := rand.New(rand.NewPCG(4, 4))
+	checks, notes, both = map[string]int{}, map[string]int{}, map[string]int{}
+	type running struct {
+		at       time.Duration
+		request  routing.Request
+		upstream string
+		// rest is what the answer takes after its first token; 0 once that is told.
+		rest time.Duration
+	}
+	var runs []running
+	waiting := map[string]func(at time.Duration, upstream string){}
+	tell := func(now time.Duration, m routing.Message) {
+		for _, d := range core.Step(now, m).Dispatch {
+			if begin := waiting[d.ID]; begin != nil && d.Decision.Upstream != "" {
+				begin(now, d.Decision.Upstream)
+			}
+			delete(waiting, d.ID)
+		}
+	}
+	for step := range seconds * 100 {
+		now := time.Duration(step) * 10 * time.Millisecond
+		tell(now, routing.Tick{})
+		sort.Slice(runs, func(i, j int) bool { return runs[i].at < runs[j].at })
+		for len(runs) > 0 && runs[0].at <= now {
+			run := runs[0]
+			r, up := run.request, run.upstream
+			runs = runs[1:]
+			if run.rest > 0 {
+				runs = append(runs, running{now + run.rest, r, up, 0})
+				tell(now, routing.FirstToken{ID: r.ID, Upstream: up, Incarnation: 1})
+				continue
+			}
+			tell(now, routing.Finished{ID: r.ID, Upstream: up, Incarnation: 1, PromptTokens: r.PromptTokens, Uncounted: true})
+		}
+		send := func(rate float64, r routing.Request, first, rest time.Duration, into map[string]int) {
+			if random.Float64() >= rate/100 {
+				return
+			}
+			begin := func(at time.Duration, upstream string) {
+				if step > 300 {
+					into[upstream]++
+				}
+				runs = append(runs, running{at + first, r, upstream, rest})
+			}
+			if d := core.Decide(now, r); d.Queued {
+				waiting[r.ID] = begin
+			} else if d.Upstream != "" {
+				begin(now, d.Upstream)
+			}
+		}
+		book := random.IntN(80)
+		send(l.checks, partlyNamed(fmt.Sprint("c", step), []string{fmt.Sprint("family", book%4), fmt.Sprint("book", book), fmt.Sprint("own", step)}, 2520, 3780, 2890), 150*time.Millisecond, 150*time.Millisecond, checks)
+		note := partlyNamed(fmt.Sprint("n", step), []string{fmt.Sprint("style", step%40), fmt.Sprint("own", step)}, 198, 628)
+		note.Idempotent, note.Target = true, 400*time.Millisecond
+		send(l.notes, note, 30*time.Millisecond, 500*time.Millisecond, notes)
+	}
+	for engine := range notes {
+		if checks[engine] > 0 {
+			both[engine] = min(checks[engine], notes[engine])
+		}
+	}
+	return checks, notes, both
+}
+
+var _ = Describe("lanes under the load of long checks beside short notes", func() {
+	It("keep notes apart from checks, whose prefill would lengthen the pauses between the notes' events", func() {
+		core := reuseCore(9)
+		checks, notes, both := load{checks: 25, notes: 40}.play(core, 12)
+		mixed, all := 0, 0
+		for _, n := range both {
+			mixed += n
+		}
+		for _, n := range notes {
+			all += n
+		}
+		Expect(len(notes)).To(BeNumerically("<=", 6))
+		Expect(len(checks)).To(BeNumerically(">=", 5))
+		Expect(mixed).To(BeNumerically("<", all/5))
+	})
+
+	It("leave no engine idle beside too few for the notes when these grow", func() {
+		few, many := map[string]int{}, map[string]int{}
+		_, few, _ = load{notes: 10}.play(reuseCore(9), 8)
+		_, many, _ = load{notes: 80}.play(reuseCore(9), 8)
+		Expect(len(many)).To(BeNumerically(">", len(few)))
+	})
+})
