--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,7 +1,7 @@
 # make demo   builds and runs the whole path on embedded defaults
 # make check  everything that CI runs
 
-MODULES := bench coord operate relay standin
+MODULES := bench coord operate platform relay standin
 PACKAGES := $(MODULES:%=./%/...)
 BIN := $(CURDIR)/.bin
 SEEDS ?= 1000
@@ -14,6 +14,7 @@
 
 build:
 	go build -o $(BIN)/chicoryrelay ./relay
+	go build -o $(BIN)/chicoryplatform ./platform
 	go build -o $(BIN)/chicoryctl ./operate
 	go build -o $(BIN)/chicorystandin ./standin
 	go build -o $(BIN)/chicorybench ./bench
--- a/coord/quorum/world_test.go
+++ b/coord/quorum/world_test.go
@@ -84,8 +84,8 @@
 	// restless groups elect often, restart right after votes, and get many late messages.
 	restless bool
 	// voters is the number of voters that the group grows to; 0 admits no new names.
-	voters int
-	observe  func(*node, quorum.Entry)
+	voters  int
+	observe func(*node, quorum.Entry)
 }
 
 // newWorld starts five VMs, of which the first ones found the group.
--- a/relay/connection/pool_test.go
+++ b/relay/connection/pool_test.go
@@ -70,7 +70,9 @@
 	return s
 }
 
-func (s *standin) address() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+func (s *standin) address() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
 
 // echo answers every request with its identity.
 func echo(p *peerSide) {
--- a/relay/forward/forward_test.go
+++ b/relay/forward/forward_test.go
@@ -356,6 +356,5 @@
 			}
 		}
 		Expect(taken).To(BeNumerically("<=", 4+20))
-
 	})
 })
--- a/relay/routing/reuse_test.go
+++ b/relay/routing/reuse_test.go
@@ -183,68 +183,82 @@
 	checks, notes float64
 }
 
-// play returns, per second, how many engines got checks, notes or both.
-func (l load) play(core *routing.Core, seconds int) (checks, notes, both map[string]int) {
-	random := rand.New(rand.NewPCG(4, 4))
-	checks, notes, both = map[string]int{}, map[string]int{}, map[string]int{}
-	type running struct {
-		at       time.Duration
-		request  routing.Request
-		upstream string
-		// rest is what the answer takes after its first token; 0 once that is told.
-		rest time.Duration
+// running is one request at an engine; rest is what the answer takes after its first token, 0 once that is told.
+type running struct {
+	at       time.Duration
+	request  routing.Request
+	upstream string
+	rest     time.Duration
+}
+
+// wave plays a load on a core and counts which engines got how many checks and notes.
+type wave struct {
+	core    *routing.Core
+	now     time.Duration
+	runs    []running
+	waiting map[string]func(upstream string)
+}
+
+func (w *wave) tell(m routing.Message) {
+	for _, d := range w.core.Step(w.now, m).Dispatch {
+		if begin := w.waiting[d.ID]; begin != nil && d.Decision.Upstream != "" {
+			begin(d.Decision.Upstream)
+		}
+		delete(w.waiting, d.ID)
 	}
-	var runs []running
-	waiting := map[string]func(at time.Duration, upstream string){}
-	tell := func(now time.Duration, m routing.Message) {
-		for _, d := range core.Step(now, m).Dispatch {
-			if begin := waiting[d.ID]; begin != nil && d.Decision.Upstream != "" {
-				begin(now, d.Decision.Upstream)
-			}
-			delete(waiting, d.ID)
+}
+
+// end reports the first tokens and ends that are due.
+func (w *wave) end() {
+	sort.Slice(w.runs, func(i, j int) bool { return w.runs[i].at < w.runs[j].at })
+	for len(w.runs) > 0 && w.runs[0].at <= w.now {
+		run := w.runs[0]
+		w.runs = w.runs[1:]
+		if run.rest > 0 {
+			w.runs = append(w.runs, running{w.now + run.rest, run.request, run.upstream, 0})
+			w.tell(routing.FirstToken{ID: run.request.ID, Upstream: run.upstream, Incarnation: 1})
+			continue
+		}
+		w.tell(routing.Finished{ID: run.request.ID, Upstream: run.upstream, Incarnation: 1, PromptTokens: run.request.PromptTokens, Uncounted: true})
+	}
+}
+
+func (w *wave) send(r routing.Request, first, rest time.Duration, into map[string]int) {
+	begin := func(upstream string) {
+		if w.now > 3*time.Second {
+			into[upstream]++
 		}
+		w.runs = append(w.runs, running{w.now + first, r, upstream, rest})
 	}
+	if d := w.core.Decide(w.now, r); d.Queued {
+		w.waiting[r.ID] = begin
+	} else if d.Upstream != "" {
+		begin(d.Upstream)
+	}
+}
+
+// play returns how many checks and notes each engine got, and the lesser of both.
+func (l load) play(core *routing.Core, seconds int) (checks, notes, both map[string]int) {
+	random := rand.New(rand.NewPCG(4, 4))
+	checks, notes, both = map[string]int{}, map[string]int{}, map[string]int{}
+	w := &wave{core: core, waiting: map[string]func(string){}}
 	for step := range seconds * 100 {
-		now := time.Duration(step) * 10 * time.Millisecond
-		tell(now, routing.Tick{})
-		sort.Slice(runs, func(i, j int) bool { return runs[i].at < runs[j].at })
-		for len(runs) > 0 && runs[0].at <= now {
-			run := runs[0]
-			r, up := run.request, run.upstream
-			runs = runs[1:]
-			if run.rest > 0 {
-				runs = append(runs, running{now + run.rest, r, up, 0})
-				tell(now, routing.FirstToken{ID: r.ID, Upstream: up, Incarnation: 1})
-				continue
-			}
-			tell(now, routing.Finished{ID: r.ID, Upstream: up, Incarnation: 1, PromptTokens: r.PromptTokens, Uncounted: true})
+		w.now = time.Duration(step) * 10 * time.Millisecond
+		w.tell(routing.Tick{})
+		w.end()
+		if random.Float64() < l.checks/100 {
+			book := random.IntN(80)
+			names := []string{fmt.Sprint("family", book%4), fmt.Sprint("book", book), fmt.Sprint("own", step)}
+			w.send(partlyNamed(fmt.Sprint("c", step), names, 2520, 3780, 2890), 150*time.Millisecond, 150*time.Millisecond, checks)
 		}
-		send := func(rate float64, r routing.Request, first, rest time.Duration, into map[string]int) {
-			if random.Float64() >= rate/100 {
-				return
-			}
-			begin := func(at time.Duration, upstream string) {
-				if step > 300 {
-					into[upstream]++
-				}
-				runs = append(runs, running{at + first, r, upstream, rest})
-			}
-			if d := core.Decide(now, r); d.Queued {
-				waiting[r.ID] = begin
-			} else if d.Upstream != "" {
-				begin(now, d.Upstream)
-			}
+		if random.Float64() < l.notes/100 {
+			note := partlyNamed(fmt.Sprint("n", step), []string{fmt.Sprint("style", step%40), fmt.Sprint("own", step)}, 198, 628)
+			note.Idempotent, note.Target = true, 400*time.Millisecond
+			w.send(note, 30*time.Millisecond, 500*time.Millisecond, notes)
 		}
-		book := random.IntN(80)
-		send(l.checks, partlyNamed(fmt.Sprint("c", step), []string{fmt.Sprint("family", book%4), fmt.Sprint("book", book), fmt.Sprint("own", step)}, 2520, 3780, 2890), 150*time.Millisecond, 150*time.Millisecond, checks)
-		note := partlyNamed(fmt.Sprint("n", step), []string{fmt.Sprint("style", step%40), fmt.Sprint("own", step)}, 198, 628)
-		note.Idempotent, note.Target = true, 400*time.Millisecond
-		send(l.notes, note, 30*time.Millisecond, 500*time.Millisecond, notes)
 	}
 	for engine := range notes {
-		if checks[engine] > 0 {
-			both[engine] = min(checks[engine], notes[engine])
-		}
+		both[engine] = min(checks[engine], notes[engine])
 	}
 	return checks, notes, both
 }
@@ -266,9 +280,8 @@
 	})
 
 	It("leave no engine idle beside too few for the notes when these grow", func() {
-		few, many := map[string]int{}, map[string]int{}
-		_, few, _ = load{notes: 10}.play(reuseCore(9), 8)
-		_, many, _ = load{notes: 80}.play(reuseCore(9), 8)
+		_, few, _ := load{notes: 10}.play(reuseCore(9), 8)
+		_, many, _ := load{notes: 80}.play(reuseCore(9), 8)
 		Expect(len(many)).To(BeNumerically(">", len(few)))
 	})
 })
--- a/relay/settings/settings_test.go
+++ b/relay/settings/settings_test.go
@@ -101,7 +101,7 @@
 		Entry("a number for a name", "{\n\"name\": 7}", 2, "name", "between quotes"),
 		Entry("a name with a space", "{\n\"name\": \"a b\"}", 2, "name", "a-z, 0-9"),
 		Entry("an unknown level", "{\n\"log\": \"loud\"}", 2, "log", "debug, info, warn, error"),
-		Entry("an unknown policy", "{\"routing\": {\n\"policy\": \"random\"}}", 2, "routing.policy", "cost, robin, least, hash"),
+		Entry("an unknown policy", "{\"routing\": {\n\"policy\": \"random\"}}", 2, "routing.policy", "cost, reuse, robin, least, hash"),
 		Entry("a host name", "{\"listeners\": {\n\"callers\": \"localhost:7100\"}}", 2, "listeners.callers", "host names are not looked up"),
 		Entry("an address without port", "{\n\"store\": \"10.0.0.1\"}", 2, "store", "IP address and port"),
 		Entry("port 0", "{\"listeners\": {\n\"callers\": \"10.0.0.1:0\"}}", 2, "listeners.callers", "from 1 to 65535"),
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -14,7 +14,6 @@
 	"go.uber.org/fx"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
-	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/forward"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
@@ -26,8 +25,6 @@
 	idleTime   = 3 * time.Minute
 	// stopMargin is kept free at the end of a graceful shutdown for the control state, which takes a few tens of milliseconds.
 	stopMargin = 400 * time.Millisecond
-	// activeInterval is the interval at which a stopping VM looks for requests in progress.
-	activeInterval = 50 * time.Millisecond
 )
 
 // limitSetter takes up the limits of reloaded settings.
@@ -40,7 +37,7 @@
 	return budget, set
 }
 
-func newForwarder(s settings.Settings, st *state, budget *forward.Budget, pool *connection.Pool, p *placer, c *counters, logger log.Interface) *forward.Forwarder {
+func newForwarder(st *state, budget *forward.Budget, pool *connection.Pool, p *placer, c *counters, logger log.Interface) *forward.Forwarder {
 	f := forward.New(
 		forward.WithTable(st.table.Load), forward.WithDialect(st.adapter.Dialect), forward.WithPool(pool), forward.WithPlace(p.place),
 		forward.WithLog(logger), forward.WithBudget(budget), forward.WithMeasure(c.observe),
@@ -60,7 +57,7 @@
 }
 
 // runCallers serves callers; it is started last and stopped first.
-func runCallers(lifecycle fx.Lifecycle, s settings.Settings, st *state, host *control.Host, f *forward.Forwarder, logger log.Interface) {
+func runCallers(lifecycle fx.Lifecycle, s settings.Settings, st *state, f *forward.Forwarder, logger log.Interface) {
 	if !s.Listeners.Callers.IsValid() {
 		return
 	}
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -143,7 +143,7 @@
 	if roster == nil {
 		return
 	}
-	var digest = w.dispatch.Digest()
+	digest := w.dispatch.Digest()
 	sent := 0
 	for _, vm := range roster.GetVms() {
 		if !vm.GetCallers() || vm.GetName() == w.settings.Name {
