Keep shared parts in the store of KV cache

Ruled out: placement alone, the placed requests relied on all parts that were known to be held. Change: parts that an engine reads are saved to a store of its region, and fetched from there; stores that don't answer are left out.

--- a/relay/catalogue/objects.go
+++ b/relay/catalogue/objects.go
@@ -12,6 +12,8 @@
 const (
 	Engine  UpstreamKind = "engine"
 	Service UpstreamKind = "service"
+	// Store keeps KV cache outside the engines; it is found as a service of the desired state and never configured as an object.
+	Store UpstreamKind = "store"
 )
 
 // UpstreamState says whether an upstream gets new work.
@@ -47,6 +49,8 @@
 	Slots int `json:"slots,omitempty"`
 	// Cache is the engine's prefix cache in tokens.
 	Cache int `json:"cache,omitempty"`
+	// Transfer is the time to move one token's KV cache over its link; it comes from the desired state and is not configured.
+	Transfer time.Duration `json:"-"`
 	// Fenced says that the engine refuses orders with an old fencing number.
 	Fenced bool          `json:"fenced,omitempty"`
 	State  UpstreamState `json:"state,omitempty"`
--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -144,10 +144,11 @@
 	upstream catalogue.Upstream
 	exporter *Import
 	fetch    catalogue.Upstream
+	save     catalogue.Upstream
 }
 
 func (d *Dispatcher) placement(decision routing.Decision) placement {
-	p := placement{decision: decision, upstream: d.upstreams[decision.Upstream], fetch: d.upstreams[decision.Fetch]}
+	p := placement{decision: decision, upstream: d.upstreams[decision.Upstream], fetch: d.upstreams[decision.Fetch], save: d.upstreams[decision.Save]}
 	if decision.Import != nil {
 		p.exporter = &Import{From: d.upstreams[decision.Import.From], Incarnation: decision.Import.Incarnation}
 	}
@@ -196,7 +197,7 @@
 	if p.decision.Refusal != nil {
 		return nil, p.decision.Refusal
 	}
-	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.exporter, Fetch: p.fetch, dispatcher: d, id: id}
+	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.exporter, Fetch: p.fetch, Save: p.save, Cached: p.decision.Cached, Expected: p.decision.Expected, dispatcher: d, id: id}
 	if p.decision.Hedge != nil {
 		t.Hedge = p.decision.Hedge.Delay
 	}
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -38,6 +38,11 @@
 	Priority int
 	// Fetch is the upstream that the engine takes parts from; its name is empty for none.
 	Fetch catalogue.Upstream
+	// Save is the store that the engine sends the parts to that it reads; its name is empty for none.
+	Save catalogue.Upstream
+	// Cached is the number of leading prompt tokens that the engine is believed to hold or fetch, Expected the time to first token.
+	Cached   int
+	Expected time.Duration
 	// Hedge is the delay without a first token after which a second attempt may be asked for; 0 means never.
 	Hedge time.Duration
 
--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -37,6 +37,7 @@
 	named     map[string][]naming
 	parts     *parts
 	lanes     map[string]*lane
+	stores    map[string]*store
 	paces     []float64
 }
 
@@ -64,6 +65,7 @@
 		named:    map[string][]naming{},
 		parts:    newParts(),
 		lanes:    map[string]*lane{},
+		stores:   map[string]*store{},
 	}
 }
 
--- a/relay/routing/decide.go
+++ b/relay/routing/decide.go
@@ -127,7 +127,7 @@
 		Cached: cached, Expected: seconds(e.ttft()),
 	}
 	if e.fetch != nil {
-		d.Fetch = e.fetch.info.Name
+		d.Fetch = e.fetch.Name
 	} else if e.transfer > 0 {
 		d.Import = c.importPlan(now, f, p)
 	}
@@ -142,6 +142,10 @@
 	c.fairness.Serve(f.request.Account, seconds(f.service/float64(p.group.slots)))
 	c.send(now, f, u, d.Cached, false)
 	c.keepParts(now, u, p)
+	// Parts that are read now are kept where another engine can fetch them once this one has evicted them.
+	if s := c.storeFor(u); s != nil && d.Cached < p.shared {
+		d.Save = s.info.Name
+	}
 	return d
 }
 
--- a/relay/routing/model.go
+++ b/relay/routing/model.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"math"
 	"time"
 )
@@ -153,7 +154,7 @@
 	total    float64
 	open     bool
 	// fetch is the engine that parts are taken from, kept the length of those that need no prefill then.
-	fetch *upstream
+	fetch *catalogue.Upstream
 	kept  int
 }
 
--- a/relay/routing/request.go
+++ b/relay/routing/request.go
@@ -65,6 +65,8 @@
 	Import   *Import
 	// Fetch is the upstream that the engine takes parts from that it does not hold.
 	Fetch string
+	// Save is the store that the engine sends the parts to that it reads.
+	Save  string
 	Hedge *Hedge
 	// Queued says that a later message releases the request as a Dispatch.
 	Queued  bool
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/cache"
+	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 )
 
 // Reuse is the policy for engines that tell which parts of prompts they hold, and that fetch parts from each other: it weighs
@@ -99,25 +100,32 @@
 }
 
 func (m Parts) apply(c *Core, now time.Duration, _ *Effects) {
-	u, ok := c.byName[m.Upstream]
-	if !ok {
+	var handle cache.Handle
+	var epoch *uint64
+	if u := c.byName[m.Upstream]; u != nil {
+		handle, epoch = u.handle, &u.epoch
+	} else if s := c.stores[m.Upstream]; s != nil {
+		handle, epoch = s.handle, &s.epoch
+	} else {
 		return
 	}
-	if m.Reset || m.Epoch != u.epoch {
-		c.parts.drop(u.handle)
-		u.epoch = m.Epoch
+	if m.Reset || m.Epoch != *epoch {
+		c.parts.drop(handle)
+		*epoch = m.Epoch
 	}
 	for _, key := range m.Removed {
-		c.parts.remove(key, u.handle)
+		c.parts.remove(key, handle)
 	}
 	for _, key := range m.Added {
-		c.parts.add(now, key, u.handle)
+		c.parts.add(now, key, handle)
 	}
 }
 
-// Source names a place that parts are fetched from.
+// source is a place that parts are fetched from.
 type source struct {
-	up *upstream
+	info *catalogue.Upstream
+	// kept says that it is a store, which is near or not used at all.
+	kept bool
 	// tokens is the length of the leading parts that it holds.
 	tokens int
 }
@@ -166,7 +174,12 @@
 		if tokens == 0 || u.closed || now < u.blocked {
 			continue
 		}
-		p.offer(source{u, tokens})
+		p.offer(source{info: &u.info, tokens: tokens})
+	}
+	for _, s := range c.stores {
+		if tokens := int(c.found[s.handle]); tokens > 0 && !s.down {
+			p.offer(source{info: &s.info, kept: true, tokens: tokens})
+		}
 	}
 }
 
@@ -177,8 +190,8 @@
 func (p *plan) offer(s source) {
 	for i := range p.sources {
 		at := &p.sources[i]
-		if at.up == nil || at.up.info.DataCentre == s.up.info.DataCentre {
-			if at.up == nil || s.tokens > at.tokens {
+		if at.info == nil || at.kept == s.kept && at.info.DataCentre == s.info.DataCentre {
+			if at.info == nil || s.tokens > at.tokens {
 				*at = s
 			}
 			return
@@ -275,24 +288,22 @@
 	total := worth()
 	for i := range p.sources {
 		s := &p.sources[i]
-		if s.up == nil || s.up == u || s.tokens <= cached || c.transfer == 0 {
+		if s.info == nil || s.info == &u.info || s.tokens <= cached || c.transfer == 0 {
 			continue
 		}
-		factor := 1.0
-		switch {
-		case s.up.info.Region != u.info.Region:
-			factor = otherRegion
-		case s.up.info.DataCentre != u.info.DataCentre:
-			factor = otherCentre
+		factor := moveFactor(s.info, &u.info)
+		if s.kept && factor > storeSpan {
+			continue
 		}
+		perMove := max(c.transfer, s.info.Transfer, u.info.Transfer).Seconds()
 		plain := *e
 		tokens := min(s.tokens, p.tokens)
-		e.transfer = fetchSetup + float64(tokens-cached)*c.transfer.Seconds()*factor
+		e.transfer = fetchSetup + float64(tokens-cached)*perMove*factor
 		e.prefill = float64(p.tokens-tokens) * perToken
 		known = tokens
 		with := worth() + fetchPrice*min(factor, 3)*float64(tokens-cached)/float64(max(1, p.tokens))
 		if with < total {
-			total, e.fetch, e.kept = with, s.up, tokens
+			total, e.fetch, e.kept = with, s.info, tokens
 		} else {
 			*e, known = plain, max(cached, e.kept)
 		}
--- /dev/null
+++ b/relay/routing/store.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/cache"
+	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
+)
+
+// store is a store of KV cache beside the engines.
+type store struct {
+	info   catalogue.Upstream
+	handle cache.Handle
+	epoch  uint64
+	// down says that the store did not answer lately: a dead source costs more than reading the parts.
+	down bool
+}
+
+// storeSpan is the greatest distance at which a store is used, as in upstream.far of an engine to it: moves to other regions occupy
+// its link ten times as long.
+const storeSpan = otherCentre
+
+// StoreDown says that a store of KV cache does not answer, or does again.
+type StoreDown struct {
+	Store string
+	Down  bool
+}
+
+func (m StoreDown) apply(c *Core, _ time.Duration, _ *Effects) {
+	if s := c.stores[m.Store]; s != nil {
+		s.down = m.Down
+	}
+}
+
+// setStores replaces the set of stores.
+func (c *Core) setStores(list []catalogue.Upstream) {
+	present := map[string]bool{}
+	for _, info := range list {
+		if info.Kind != catalogue.Store {
+			continue
+		}
+		present[info.Name] = true
+		s := c.stores[info.Name]
+		if s == nil {
+			s = &store{handle: c.cache.Attach(info.Name, info.Cache)}
+			c.stores[info.Name] = s
+		}
+		s.info = info
+	}
+	for name, s := range c.stores {
+		if !present[name] {
+			c.parts.drop(s.handle)
+			c.cache.Detach(s.handle)
+			delete(c.stores, name)
+		}
+	}
+}
+
+// distance returns the factor by which a move between two places takes longer than within one data centre.
+func moveFactor(a, b *catalogue.Upstream) float64 {
+	switch {
+	case a.Region != b.Region:
+		return otherRegion
+	case a.DataCentre != b.DataCentre:
+		return otherCentre
+	}
+	return 1
+}
+
+// storeFor returns the nearest store that an engine may save parts to, or nil.
+func (c *Core) storeFor(u *upstream) *store {
+	var best *store
+	for _, s := range c.stores {
+		if s.down || moveFactor(&s.info, &u.info) > storeSpan {
+			continue
+		}
+		if best == nil || moveFactor(&s.info, &u.info) < moveFactor(&best.info, &u.info) || s.info.Name < best.info.Name {
+			best = s
+		}
+	}
+	return best
+}
--- a/relay/routing/upstream.go
+++ b/relay/routing/upstream.go
@@ -168,6 +168,7 @@
 
 // apply replaces the set of upstreams.
 func (m Upstreams) apply(c *Core, now time.Duration, effects *Effects) {
+	c.setStores(m.List)
 	present := make(map[string]bool, len(m.List))
 	for _, info := range m.List {
 		if info.Kind != catalogue.Engine {
--- a/relay/vm/parts.go
+++ b/relay/vm/parts.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -105,6 +106,16 @@
 			wanted[u.ID] = u
 		}
 	}
+	for i := range table.State.Services {
+		service := &table.State.Services[i]
+		if service.Store == nil {
+			continue
+		}
+		u := &directory.Upstream{ID: storeName(service), Service: service.Name, Address: service.Store.Address, Centre: service.Store.Centre}
+		if w.mine(u) {
+			wanted[u.ID] = u
+		}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, u := range wanted {
@@ -159,12 +170,16 @@
 			if !lost && ctx.Err() == nil {
 				w.log.WithFields(log.Fields{"upstream": u.ID, "cause": err.Error()}).Info("cache events not read")
 			}
+			if !lost {
+				w.tellStore(u, true)
+			}
 			lost = true
 			pause(ctx, eventsRetry)
 			continue
 		}
 		if lost {
 			w.log.WithField("upstream", u.ID).Info("cache events read again")
+			w.tellStore(u, false)
 			lost = false
 		}
 		reset := events.Lost || epoch != 0 && events.Epoch != epoch
@@ -181,6 +196,16 @@
 	}
 }
 
+// tellStore tells this VM and the others that a store of KV cache does not answer, or does again.
+func (w *partWatcher) tellStore(u *directory.Upstream, down bool) {
+	if !strings.HasPrefix(u.ID, "store/") {
+		return
+	}
+	news := &peer.News{Upstream: u.ID, Down: down, Reset_: true}
+	hearNews(w.dispatch, news)
+	w.broadcast(news)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -210,6 +235,10 @@
 		}
 	}
 	hearNews(w.dispatch, news)
+	w.broadcast(news)
+}
+
+func (w *partWatcher) broadcast(news *peer.News) {
 	envelope := &peer.Envelope{Body: &peer.Envelope_News{News: news}}
 	for _, vm := range w.state.vms.Load().GetVms() {
 		if vm.GetCallers() && vm.GetName() != w.settings.Name {
@@ -220,6 +249,7 @@
 
 // hearNews tells the routing core what an engine holds.
 func hearNews(d *dispatch.Dispatcher, news *peer.News) {
+	d.Tell(routing.StoreDown{Store: news.GetUpstream(), Down: news.GetDown()})
 	d.Tell(routing.Parts{
 		Upstream: news.GetUpstream(), Epoch: news.GetEpoch(), Reset: news.GetReset_(), Added: slices.Clone(news.GetAdded()), Removed: slices.Clone(news.GetRemoved()),
 	})
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -107,10 +107,12 @@
 				Name: u.ID, Address: u.Address, DataCentre: u.Centre, Region: p.settings.Discovered.Centres[u.Centre], Kind: catalogue.Engine,
 				Service: u.Service, Model: family(u.Service, model.Name), Weights: strconv.FormatUint(model.Weights, 10),
 				Slots: service.Engine.Slots, Cache: service.Engine.Memory, State: state,
+				Transfer: transferTime(service.Engine.TokenBytes, service.Engine.LinkMbps),
 			})
 			break
 		}
 	}
+	engines = append(engines, p.stores(table)...)
 	if weights := p.state.weights.Load(); weights != nil {
 		p.nameWeights(table, *weights)
 	}
@@ -121,6 +123,41 @@
 	p.dispatch.Configure(&catalogue.Catalogue{Upstreams: engines})
 }
 
+// transferTime is the time to move one token's KV cache over a link.
+func transferTime(tokenBytes int, linkMbps float64) time.Duration {
+	if linkMbps <= 0 {
+		return 0
+	}
+	const bitsPerByte = 8
+	return time.Duration(float64(tokenBytes) * bitsPerByte / linkMbps * float64(time.Microsecond))
+}
+
+// stores returns the stores of KV cache.
+func (p *placer) stores(table *route.Table) []catalogue.Upstream {
+	tokenBytes := 0
+	for i := range table.State.Services {
+		if engine := table.State.Services[i].Engine; engine != nil {
+			tokenBytes = max(tokenBytes, engine.TokenBytes)
+		}
+	}
+	var stores []catalogue.Upstream
+	for i := range table.State.Services {
+		service := &table.State.Services[i]
+		if service.Store == nil {
+			continue
+		}
+		stores = append(stores, catalogue.Upstream{
+			Name: storeName(service), Address: service.Store.Address, DataCentre: service.Store.Centre,
+			Region: p.settings.Discovered.Centres[service.Store.Centre], Kind: catalogue.Store, Service: service.Name, Cache: service.Store.Memory,
+			Transfer: transferTime(tokenBytes, service.Store.LinkMbps),
+		})
+	}
+	return stores
+}
+
+// storeName names a store for the routing core, apart from upstreams' IDs.
+func storeName(service *route.Service) string { return "store/" + service.Name }
+
 // nameWeights tells the routing core which weights were named last.
 func (p *placer) nameWeights(table *route.Table, weights map[string]uint64) {
 	for i := range table.State.Services {
@@ -182,15 +219,19 @@
 		return nil, err
 	}
 	p.log.WithFields(log.Fields{
-		"request": w.ID, "upstream": u.ID, "weights": weights, "prompt": w.Ask.Prompt, "fetch": ticket.Fetch.Name, "age": time.Since(w.Arrived), "failed": len(w.Failed),
+		"request": w.ID, "upstream": u.ID, "weights": weights, "prompt": w.Ask.Prompt, "cached": ticket.Cached, "expected": ticket.Expected, "fetch": ticket.Fetch.Name, "save": ticket.Save.Name, "route": w.Route.Name, "age": time.Since(w.Arrived), "failed": len(w.Failed),
 	}).Info("placed")
 	var fetch netip.AddrPort
 	if ticket.Fetch.Name != "" {
 		fetch = ticket.Fetch.Address
 	}
+	var save netip.AddrPort
+	if ticket.Save.Name != "" {
+		save = ticket.Save.Address
+	}
 	incarnation := incarnationOf(u)
 	return &forward.Placement{
-		Upstream: u, Weights: weights, Priority: urgency(ticket.Priority, w), Salt: saltOf(w.Scope, routing.Version{Model: ticket.Upstream.Model, Weights: ticket.Upstream.Weights}), Fetch: fetch,
+		Upstream: u, Weights: weights, Priority: urgency(ticket.Priority, w), Salt: saltOf(w.Scope, routing.Version{Model: ticket.Upstream.Model, Weights: ticket.Upstream.Weights}), Fetch: fetch, Save: save,
 		Begin: func() { ticket.FirstToken(incarnation) },
 		Finish: func(h forward.Heard) {
 			p.heard(u, w, h)
