Share views within cells, keep budgets of repeated sends when VMs come and go

Found by the tests: an upstream's own 500 was replaced by a 502 once the budget was used up. Change: cells, Resize, Left before a repetition; each with a test.

--- a/relay/admission/budget.go
+++ b/relay/admission/budget.go
@@ -18,6 +18,11 @@
 	return &Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
+// Resize changes ratio and burst; what was saved up beyond the new burst is lost, and nothing is gained.
+func (b *Budget) Resize(ratio, burst float64) {
+	b.ratio, b.burst, b.tokens = ratio, burst, min(b.tokens, burst)
+}
+
 // Earn records an ordinary request.
 func (b *Budget) Earn() { b.tokens = min(b.burst, b.tokens+b.ratio) }
 
--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -69,9 +69,9 @@
 	return true, nil
 }
 
-// again reports whether one more run is allowed.
+// again reports whether one more run is allowed; without, the upstream's own failure is the answer.
 func (s *session) again() bool {
-	return s.route.Repeatable() && s.runs < max(1, s.route.Attempts) && s.sends < maxSends
+	return s.route.Repeatable() && s.runs < max(1, s.route.Attempts) && s.sends < maxSends && s.f.budget.Left(s.work.Service.Name)
 }
 
 // copyHeader passes the upstream's header on, except what concerns its connection.
--- a/relay/forward/budget.go
+++ b/relay/forward/budget.go
@@ -22,12 +22,16 @@
 	defaultSlack = 8
 )
 
+// unknownVMs is the number of VMs that share the allowance until it is known: after a herd restart each VM would otherwise take
+// all of it.
+const unknownVMs = 32
+
 // budgetShare is the part of the allowance that is used, since windows slide and VMs come and go.
 const budgetShare = 0.8
 
 // NewBudget returns a budget with the defaults.
 func NewBudget() *Budget {
-	return &Budget{ratio: defaultRatio, slack: defaultSlack, vms: 1, services: map[string]*admission.Budget{}}
+	return &Budget{ratio: defaultRatio, slack: defaultSlack, vms: unknownVMs, services: map[string]*admission.Budget{}}
 }
 
 // Limit sets the allowance that all VMs share: ratio repeated sends per request and slack besides.
@@ -35,23 +39,37 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ratio, b.slack = ratio, slack
-	clear(b.services)
+	b.resize()
 }
 
 // Share sets the number of VMs that share the allowance.
 func (b *Budget) Share(vms int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if vms = max(1, vms); vms != b.vms {
+	if vms == 0 {
+		vms = unknownVMs
+	}
+	if vms != b.vms {
 		b.vms = vms
-		clear(b.services)
+		b.resize()
 	}
 }
 
+// resize changes the budgets in use without filling them up: VMs come and go often, and a full budget each time would be none.
+func (b *Budget) resize() {
+	for _, budget := range b.services {
+		budget.Resize(b.limits())
+	}
+}
+
+func (b *Budget) limits() (ratio, burst float64) {
+	return b.ratio * budgetShare, max(1, b.slack*budgetShare/float64(b.vms))
+}
+
 func (b *Budget) service(name string) *admission.Budget {
 	budget, ok := b.services[name]
 	if !ok {
-		budget = admission.NewBudget(b.ratio*budgetShare, max(1, b.slack*budgetShare/float64(b.vms)))
+		budget = admission.NewBudget(b.limits())
 		b.services[name] = budget
 	}
 	return budget
--- a/relay/forward/forward_test.go
+++ b/relay/forward/forward_test.go
@@ -150,6 +150,7 @@
 	var ups *upstreams
 	var server *httptest.Server
 	var table *route.Table
+	var budget *forward.Budget
 
 	BeforeEach(func() {
 		ups = &upstreams{}
@@ -157,9 +158,12 @@
 		Expect(err).NotTo(HaveOccurred())
 		table = route.NewTable(decoded)
 		pool := connection.NewPool()
+		budget = forward.NewBudget()
+		budget.Limit(1, 100)
+		budget.Share(1)
 		f := forward.New(
 			forward.WithTable(func() *route.Table { return table }), forward.WithDialect(dialect), forward.WithPool(pool),
-			forward.WithPlace(ups.place), forward.WithLog(&log.Logger{Handler: discard.Default}),
+			forward.WithPlace(ups.place), forward.WithBudget(budget), forward.WithLog(&log.Logger{Handler: discard.Default}),
 		)
 		server = httptest.NewServer(f)
 		DeferCleanup(server.Close)
@@ -254,6 +258,15 @@
 		Expect(ups.taken).To(Equal(2))
 	})
 
+	It("passes on an upstream's own failure once the budget of repeated sends is used up", func() {
+		budget.Limit(0, 0)
+		budget.Earn("plain")
+		budget.Take("plain")
+		ups.list = []directory.Upstream{says(500, "", "no"), says(200, "", "ok")}
+		expectStatus(http.StatusInternalServerError, "/read/")
+		Expect(ups.taken).To(Equal(1))
+	})
+
 	It("passes on an upstream's own failure of a request that must not run twice", func() {
 		ups.list = []directory.Upstream{says(500, "", "no"), says(200, "", "ok")}
 		expectStatus(http.StatusInternalServerError, "/book/")
@@ -357,4 +370,30 @@
 		}
 		Expect(taken).To(BeNumerically("<=", 4+20))
 	})
+
+	It("is not filled up by changes of the number of VMs, which come often when VMs are slow", func() {
+		b := forward.NewBudget()
+		b.Limit(0, 40)
+		b.Share(8)
+		b.Earn("s")
+		taken := 0
+		for vms := range 20 {
+			b.Share(7 + vms%2)
+			for b.Take("s") {
+				taken++
+			}
+		}
+		Expect(taken).To(Equal(4))
+	})
+
+	It("gives a VM that knows no others little, since all that restart together would take it", func() {
+		b := forward.NewBudget()
+		b.Limit(0, 200)
+		b.Earn("s")
+		taken := 0
+		for b.Take("s") {
+			taken++
+		}
+		Expect(taken).To(BeNumerically("<=", 200/20))
+	})
 })
--- a/relay/routing/model.go
+++ b/relay/routing/model.go
@@ -1,9 +1,10 @@
 package routing
 
 import (
-	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"math"
 	"time"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 )
 
 // model is what is learned about the engines of one version, in seconds.
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -143,42 +143,43 @@
 		}
 	}
 	p.shared = min(p.shared, p.tokens)
-	p.somewhere = 0
-	for i, key := range p.keys {
-		list := c.parts.held[key]
-		if len(list) == 0 {
-			break
+	c.findParts(now, p)
+	clear(p.sources[:])
+	for _, u := range p.group.list {
+		if tokens := int(c.found[u.handle]); tokens > 0 && !u.closed && now >= u.blocked {
+			p.offer(source{info: &u.info, tokens: tokens})
 		}
-		before := 0
-		if i > 0 {
-			before = r.Levels[i-1].Tokens
+	}
+	for _, s := range c.stores {
+		if tokens := int(c.found[s.handle]); tokens > 0 && !s.down {
+			p.offer(source{info: &s.info, kept: true, tokens: tokens})
 		}
+	}
+}
+
+// findParts settles how many leading tokens of the prompt each holder has, and up to where anybody has them.
+func (c *Core) findParts(now time.Duration, p *plan) {
+	levels := p.flight.request.Levels
+	p.somewhere = 0
+	before := 0
+	for i, key := range p.keys {
 		held := false
-		for _, h := range list {
+		for _, h := range c.parts.held[key] {
 			if now-h.seen > partLifetime {
 				continue
 			}
 			held = true
 			// Only an engine that holds all parts before can use this one.
 			if int(h.handle) < len(c.found) && int(c.found[h.handle]) == before {
-				c.found[h.handle] = int32(r.Levels[i].Tokens)
+				c.found[h.handle] = int32(levels[i].Tokens)
 			}
 		}
-		if held && i+1 < len(p.keys) {
-			p.somewhere = r.Levels[i].Tokens
-		}
-	}
-	clear(p.sources[:])
-	for _, u := range p.group.list {
-		tokens := int(c.found[u.handle])
-		if tokens == 0 || u.closed || now < u.blocked {
-			continue
+		if !held {
+			return
 		}
-		p.offer(source{info: &u.info, tokens: tokens})
-	}
-	for _, s := range c.stores {
-		if tokens := int(c.found[s.handle]); tokens > 0 && !s.down {
-			p.offer(source{info: &s.info, kept: true, tokens: tokens})
+		before = levels[i].Tokens
+		if i+1 < len(p.keys) {
+			p.somewhere = before
 		}
 	}
 }
--- /dev/null
+++ b/relay/vm/cell_test.go
@@ -0,0 +1,43 @@
+package vm
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	config, reporter := GinkgoConfiguration()
+	config.RandomSeed = 1
+	RunSpecs(t, "vm", config, reporter)
+}
+
+// rosterOf returns a roster with a number of VMs with callers in each data centre and one control VM.
+func rosterOf(centres map[string]int) *peer.Roster {
+	roster := &peer.Roster{Vms: []*peer.RosterVM{{Name: "control", Centre: "a"}}}
+	for centre, count := range centres {
+		for i := range count {
+			roster.Vms = append(roster.Vms, &peer.RosterVM{Name: fmt.Sprint(centre, i), Centre: centre, Callers: true})
+		}
+	}
+	return roster
+}
+
+var _ = Describe("cell", func() {
+	It("is the whole of a small system", func() {
+		Expect(cell(rosterOf(map[string]int{"a": 3, "b": 3, "c": 2}), "a0", "a")).To(ConsistOf("a1", "a2", "b0", "b1", "b2", "c0", "c1"))
+	})
+
+	It("is the data centre of a large one, without which its messages would grow with the square of the VMs", func() {
+		Expect(cell(rosterOf(map[string]int{"a": 7, "b": 15}), "a0", "a")).To(ConsistOf("a1", "a2", "a3", "a4", "a5", "a6"))
+	})
+
+	It("is empty until the roster is known", func() {
+		Expect(cell(nil, "a0", "a")).To(BeEmpty())
+	})
+})
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -116,6 +116,7 @@
 	host     *control.Host
 	dispatch *dispatch.Dispatcher
 	name     string
+	centre   string
 	callers  bool
 	mu       sync.Mutex
 	roster   *peer.Roster
@@ -124,7 +125,7 @@
 }
 
 func newMesh(s settings.Settings, node *control.Node, d *dispatch.Dispatcher, logger log.Interface) *meshes {
-	m := &meshes{dispatch: d, name: s.Name, callers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
+	m := &meshes{dispatch: d, name: s.Name, centre: s.Centre, callers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
 	m.mesh = peer.New(
 		peer.WithName(s.Name, s.Centre, node.Life().Boot), peer.WithAddress(s.Listeners.Peers), peer.WithReceive(m.receive),
 		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithLog(logger),
@@ -170,9 +171,9 @@
 		wanted[name] = true
 	}
 	if m.callers {
-		for _, vm := range r.GetVms() {
-			if vm.GetCallers() && vm.GetName() > m.name {
-				wanted[vm.GetName()] = true
+		for _, name := range cell(r, m.name, m.centre) {
+			if name > m.name {
+				wanted[name] = true
 			}
 		}
 	}
--- a/relay/vm/parts.go
+++ b/relay/vm/parts.go
@@ -240,10 +240,8 @@
 
 func (w *partWatcher) broadcast(news *peer.News) {
 	envelope := &peer.Envelope{Body: &peer.Envelope_News{News: news}}
-	for _, vm := range w.state.vms.Load().GetVms() {
-		if vm.GetCallers() && vm.GetName() != w.settings.Name {
-			w.mesh.mesh.Send(vm.GetName(), envelope)
-		}
+	for _, name := range cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre) {
+		w.mesh.mesh.Send(name, envelope)
 	}
 }
 
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -29,8 +29,8 @@
 	answerLimit = 4 << 20
 	// digestInterval is the interval at which VMs with callers share their view.
 	digestInterval = 150 * time.Millisecond
-	// mostNeighbours bounds the VMs that one VM shares its view with.
-	mostNeighbours = 12
+	// neighboursPerTurn is the number of neighbours for each of which digestInterval is kept.
+	neighboursPerTurn = 8
 )
 
 // watcher reads the platform's list and shares this VM's view with others.
@@ -43,6 +43,7 @@
 	dispatch *dispatch.Dispatcher
 	log      log.Interface
 	lost     bool
+	turn     int
 }
 
 func runWatch(lifecycle fx.Lifecycle, s settings.Settings, st *state, host *control.Host, pool *connection.Pool, m *meshes, d *dispatch.Dispatcher, logger log.Interface) {
@@ -139,19 +140,17 @@
 
 // digest tells the neighbours what this VM has in progress and which prompts it sees often.
 func (w *watcher) digest() {
-	roster := w.state.vms.Load()
-	if roster == nil {
+	neighbours := cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre)
+	if len(neighbours) == 0 {
+		return
+	}
+	// The interval grows with the neighbours, so that the messages that a VM sends and gets stay few.
+	w.turn++
+	if w.turn%(1+len(neighbours)/neighboursPerTurn) != 0 {
 		return
 	}
 	digest := w.dispatch.Digest()
-	sent := 0
-	for _, vm := range roster.GetVms() {
-		if !vm.GetCallers() || vm.GetName() == w.settings.Name {
-			continue
-		}
-		w.mesh.mesh.Send(vm.GetName(), digest)
-		if sent++; sent >= mostNeighbours {
-			return
-		}
+	for _, name := range neighbours {
+		w.mesh.mesh.Send(name, digest)
 	}
 }
