--- a/relay/connection/channel.go
+++ b/relay/connection/channel.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -18,12 +19,27 @@
 	reader  *bufio.Reader
 	expires time.Time
 	closed  bool
+	heard   *atomic.Int64
 	// used says that the connection carried a request before.
 	used bool
 }
 
-func newChannel(p *Pool, address netip.AddrPort, conn net.Conn) *channel {
-	return &channel{pool: p, address: address, conn: conn, reader: bufio.NewReaderSize(conn, 4096)}
+func newChannel(p *Pool, address netip.AddrPort, conn net.Conn, heard *atomic.Int64) *channel {
+	c := &channel{pool: p, address: address, conn: conn, heard: heard}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
+// readBuffer is the size in bytes of a connection's buffer.
+const readBuffer = 4096
+
+// Read reads from the connection and notes that the upstream was heard.
+func (c *channel) Read(into []byte) (int, error) {
+	n, err := c.conn.Read(into)
+	if n > 0 {
+		c.heard.Store(c.pool.now().UnixNano())
+	}
+	return n, err
 }
 
 func (c *channel) close() {
--- a/relay/connection/pool.go
+++ b/relay/connection/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,7 @@
 	mu       sync.Mutex
 	idle     map[netip.AddrPort][]*channel
 	open     map[netip.AddrPort]int
+	heard    map[netip.AddrPort]*atomic.Int64
 	counters Counters
 }
 
@@ -53,7 +55,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool(options ...Option) *Pool {
-	p := &Pool{dial: dialTCP, now: time.Now, idle: map[netip.AddrPort][]*channel{}, open: map[netip.AddrPort]int{}}
+	p := &Pool{dial: dialTCP, now: time.Now, idle: map[netip.AddrPort][]*channel{}, open: map[netip.AddrPort]int{}, heard: map[netip.AddrPort]*atomic.Int64{}}
 	for _, option := range options {
 		option(p)
 	}
@@ -84,6 +86,16 @@
 	return p.open[address]
 }
 
+// Heard returns when bytes last came from an upstream on any connection; zero if none did.
+func (p *Pool) Heard(address netip.AddrPort) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if heard := p.heard[address]; heard != nil && heard.Load() > 0 {
+		return time.Unix(0, heard.Load())
+	}
+	return time.Time{}
+}
+
 // take returns a kept connection that is still usable, the most recently used first, or nil.
 func (p *Pool) take(address netip.AddrPort) *channel {
 	for {
@@ -125,8 +137,13 @@
 	p.mu.Lock()
 	p.open[address]++
 	p.counters.Dialled++
+	heard := p.heard[address]
+	if heard == nil {
+		heard = &atomic.Int64{}
+		p.heard[address] = heard
+	}
 	p.mu.Unlock()
-	return newChannel(p, address, conn), nil
+	return newChannel(p, address, conn, heard), nil
 }
 
 // keep takes a connection back after a complete answer.
@@ -164,6 +181,7 @@
 		p.drop(c)
 	}
 	delete(p.idle, address)
+	delete(p.heard, address)
 }
 
 // Prune closes the kept connections whose time has passed; call it every few seconds.
--- a/relay/directory/directory.go
+++ b/relay/directory/directory.go
@@ -19,6 +19,8 @@
 	// Gone says that another upstream, or none, answered in its place.
 	Gone bool
 	Born time.Time
+	// For is how long the report counts; 0 means the usual time.
+	For time.Duration
 }
 
 // Directory merges the list with reports.
@@ -32,6 +34,15 @@
 	at time.Duration
 }
 
+// counts reports whether the report still goes before the list.
+func (h heard) counts(now time.Duration) bool {
+	limit := reportTime
+	if h.For > 0 {
+		limit = h.For
+	}
+	return now-h.at <= limit
+}
+
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{listed: map[string]Upstream{}, reports: map[string]heard{}}
@@ -55,14 +66,14 @@
 	merged := make([]Upstream, 0, len(d.listed))
 	for id, u := range d.listed {
 		h, ok := d.reports[id]
-		if ok && now-h.at <= reportTime && (h.Born.IsZero() || u.Born.IsZero() || !h.Born.Before(u.Born)) {
+		if ok && h.counts(now) && (h.Born.IsZero() || u.Born.IsZero() || !h.Born.Before(u.Born)) {
 			u = h.apply(u)
 		}
 		merged = append(merged, u)
 	}
 	slices.SortFunc(merged, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	for id, h := range d.reports {
-		if now-h.at > reportTime {
+		if !h.counts(now) {
 			delete(d.reports, id)
 		}
 	}
--- a/relay/rollout/core.go
+++ b/relay/rollout/core.go
@@ -38,6 +38,9 @@
 	pollInterval = 100 * time.Millisecond
 	// drainLimit is how long an engine waits at most for runs that can't be repeated: they are a few hundred milliseconds long.
 	drainLimit = 1200 * time.Millisecond
+	// settleTime is how long an engine waits for runs that can go on at another engine: moving each costs a repeated send and a
+	// pause in its answer.
+	settleTime = 600 * time.Millisecond
 	// lostTime is the time after an order without an answer after which the engine's report shows whether it was taken.
 	lostTime = 500 * time.Millisecond
 	// silentTime is how long an engine that sends no report keeps its place; it may have crashed.
@@ -237,11 +240,17 @@
 	return list
 }
 
-// drained reports whether an engine may be ordered to load: its report is newer than the drain and shows no run that can't go on
-// elsewhere, or it has waited long enough. Without any report the number of its orders is not known.
+// drained reports whether an engine may be ordered to load: its report is newer than the drain and shows no run, or it has waited
+// long enough for those that are left. Without any report the number of its orders is not known.
 func (c *Core) drained(now time.Duration, e *engine) bool {
 	if !e.heard || e.last.Made < e.since {
 		return false
 	}
-	return e.last.Blocking == 0 || now >= e.since+drainLimit
+	switch {
+	case e.last.Running == 0 || now >= e.since+drainLimit:
+		return true
+	case e.last.Blocking > 0:
+		return false
+	}
+	return now >= e.since+settleTime
 }
--- a/relay/rollout/core_test.go
+++ b/relay/rollout/core_test.go
@@ -30,8 +30,10 @@
 	begins       time.Duration
 	until        time.Duration
 	sequence     uint64
-	blocking     time.Duration
-	silent       bool
+	// blocking and running are until when it has runs that can't, and that can, go on elsewhere.
+	blocking time.Duration
+	running  time.Duration
+	silent   bool
 }
 
 func newSite(engines int) *site {
@@ -111,11 +113,14 @@
 	if f.silent {
 		return
 	}
-	blocking := 0
+	blocking, running := 0, 0
 	if s.now < f.blocking {
-		blocking = 1
+		blocking, running = 1, 1
 	}
-	s.core.Step(s.now, rollout.Report{ID: id, Made: s.now - s.lag, Serves: f.serves, Busy: f.busy(s.now - s.lag), Sequence: f.sequence, Blocking: blocking})
+	if s.now < f.running {
+		running++
+	}
+	s.core.Step(s.now, rollout.Report{ID: id, Made: s.now - s.lag, Serves: f.serves, Busy: f.busy(s.now - s.lag), Sequence: f.sequence, Running: running, Blocking: blocking})
 }
 
 func (s *site) expectServing(version uint64) {
@@ -161,6 +166,20 @@
 		s.expectServing(3)
 	})
 
+	It("gives runs that can go on elsewhere a moment to end, since moving each costs a repeated send", func() {
+		s := newSite(1)
+		s.engines["e00"].running = 500 * time.Millisecond
+		s.want = 2
+		s.run(450 * time.Millisecond)
+		Expect(s.engines["e00"].sequence).To(BeZero())
+		s.run(2 * time.Second)
+		s.expectServing(2)
+		s.engines["e00"].running = time.Hour
+		s.want = 3
+		s.run(2 * time.Second)
+		s.expectServing(3)
+	})
+
 	It("goes on when the answers to orders are lost", func() {
 		s := newSite(4)
 		s.lost, s.want = true, 2
--- a/relay/rollout/message.go
+++ b/relay/rollout/message.go
@@ -38,8 +38,8 @@
 	Busy bool
 	// Sequence is the number of orders that the engine has accepted.
 	Sequence uint64
-	// Blocking is the number of runs that can't go on at another engine.
-	Blocking int
+	// Running is the number of runs, Blocking that of those which can't go on at another engine.
+	Running, Blocking int
 }
 
 // Result says what became of an order.
--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -38,7 +38,9 @@
 	parts     *parts
 	lanes     map[string]*lane
 	stores    map[string]*store
-	paces     []float64
+	// own says that this VM knows the engines of its own data centre only.
+	own   bool
+	paces []float64
 }
 
 // New returns a core without upstreams.
@@ -113,6 +115,8 @@
 	c.pump(now, effects)
 }
 
+func (m Cell) apply(c *Core, _ time.Duration, _ *Effects) { c.own = m.Own }
+
 func (m Leaving) apply(c *Core, now time.Duration, effects *Effects) {
 	u, ok := c.byName[m.Upstream]
 	if !ok {
--- a/relay/routing/lanes.go
+++ b/relay/routing/lanes.go
@@ -67,6 +67,9 @@
 	models := map[string][]*upstream{}
 	for _, u := range c.upstreams {
 		u.light, u.laned = false, false
+		if c.own && u.far > 0 {
+			continue
+		}
 		models[u.info.Model] = append(models[u.info.Model], u)
 	}
 	for model, list := range models {
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -222,6 +222,8 @@
 	centrePrice = 0.004
 	// fetchPrice is what fetching a whole prompt from an engine of the same data centre is worth.
 	fetchPrice = 0.005
+	// outsidePrice keeps requests in a cell whose VMs know nothing of the load outside, as long as its engines answer in time.
+	outsidePrice = 0.25
 	// strangerPrice prefers the upstream that all VMs would choose for a part that nobody holds yet.
 	strangerPrice = 0.03
 	// loadPrice weighs the delay that a second of prefill causes to others on busy engines.
@@ -311,6 +313,9 @@
 	}
 	e.total = total + loadPrice*g.busy.congestion*e.prefill/target.Seconds()
 	e.total += u.laneCost(p, p.tokens-max(cached, e.kept))
+	if c.own && u.far > 0 {
+		e.total += outsidePrice
+	}
 	switch u.far {
 	case 1:
 		e.total += centrePrice
@@ -345,7 +350,7 @@
 	}
 	p.homes.prefix = p.keys[len(p.keys)-2]
 	for _, u := range p.group.list {
-		if !u.closed && u.region&p.regions != 0 {
+		if !u.closed && u.region&p.regions != 0 && (!c.own || u.far == 0) {
 			p.homes.insert(p.homes.score(u))
 		}
 	}
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -15,6 +15,7 @@
 
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
 
@@ -51,6 +52,7 @@
 			}
 		}
 		budget.Share(callers)
+		p.dispatch.Tell(routing.Cell{Own: inCell(st.vms.Load(), p.settings.Centre)})
 		configure()
 	}
 	return f
--- a/relay/vm/cell.go
+++ b/relay/vm/cell.go
@@ -7,17 +7,24 @@
 // traffic between regions than it is worth.
 const cellSize = 6
 
+// inCell reports whether the VMs of a data centre form a cell of their own.
+func inCell(roster *peer.Roster, centre string) bool {
+	inside := 0
+	for _, vm := range roster.GetVms() {
+		if vm.GetCallers() && vm.GetCentre() == centre {
+			inside++
+		}
+	}
+	return inside >= cellSize
+}
+
 // cell returns the names of the other VMs that a VM shares its view with.
 func cell(roster *peer.Roster, name, centre string) []string {
 	var near, all []string
-	inside := 0
 	for _, vm := range roster.GetVms() {
 		if !vm.GetCallers() {
 			continue
 		}
-		if vm.GetCentre() == centre {
-			inside++
-		}
 		if vm.GetName() == name {
 			continue
 		}
@@ -26,7 +33,7 @@
 			near = append(near, vm.GetName())
 		}
 	}
-	if inside >= cellSize {
+	if inCell(roster, centre) {
 		return near
 	}
 	return all
--- a/relay/vm/orders.go
+++ b/relay/vm/orders.go
@@ -48,7 +48,9 @@
 	group    sync.WaitGroup
 
 	// The fields below belong to the loop.
-	core   *rollout.Core
+	core *rollout.Core
+	// dirty says that lease holders are to be told of changes with the next tick.
+	dirty  bool
 	number uint64
 	places map[string]netip.AddrPort
 }
@@ -143,11 +145,15 @@
 		return false
 	}
 	o.step(ctx, o.engines(list, s.weights))
-	if !o.core.Changing() {
-		return false
+	changing := o.core.Changing()
+	if changing {
+		o.step(ctx, rollout.Tick{})
+	}
+	if o.dirty {
+		o.dirty = false
+		o.publish()
 	}
-	o.step(ctx, rollout.Tick{})
-	return true
+	return changing
 }
 
 // engines returns the engines with the weights that they are to serve.
@@ -171,9 +177,7 @@
 // step gives the core a message and makes its effects happen.
 func (o *orders) step(ctx context.Context, m rollout.Message) {
 	effects := o.core.Step(o.host.Now(), m)
-	if effects.Changed {
-		o.publish()
-	}
+	o.dirty = o.dirty || effects.Changed
 	for _, command := range effects.Order {
 		at := o.places[command.ID]
 		o.group.Go(func() { o.send(ctx, at, command) })
@@ -220,7 +224,7 @@
 	}
 	for _, m := range state.Models {
 		o.tell(ctx, rollout.Report{
-			ID: id, Made: asked - reportLag, Serves: m.Weights, Busy: state.Busy, Sequence: state.Sequence, Blocking: blocking(state.Runs),
+			ID: id, Made: asked - reportLag, Serves: m.Weights, Busy: state.Busy, Sequence: state.Sequence, Running: len(state.Runs), Blocking: blocking(state.Runs),
 		})
 	}
 }
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -284,12 +284,20 @@
 // misdirected is the status of an upstream that is another one than the request was meant for, or has other weights.
 const misdirected = 421
 
+// misdirectedTime is how long an engine gets no requests after it said that its weights are others.
+const misdirectedTime = 300 * time.Millisecond
+
 // failed takes what a failure says of the upstream itself.
 func (p *placer) failed(u *directory.Upstream, w *forward.Work, f forward.Failure) {
 	if f.NotRun && f.Status == misdirected && f.Heard.Upstream != "" && f.Heard.Upstream != u.ID {
 		p.state.hear(directory.Report{ID: u.ID, Gone: true, Born: u.Born})
 		return
 	}
+	if f.NotRun && f.Status == misdirected && f.Heard.Weights == 0 {
+		// The engine has other weights than is believed; the leader is about to tell which.
+		p.state.hear(directory.Report{ID: u.ID, Loading: true, Born: u.Born, For: misdirectedTime})
+		return
+	}
 	p.heard(u, w, f.Heard)
 }
 
