--- /dev/null
+++ b/relay/vm/metrics_test.go
@@ -0,0 +1,43 @@
+package vm
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/control"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+)
+
+var _ = Describe("metrics", func() {
+	It("are all described on the manual's page, without which an on-call engineer could not read them", func() {
+		c := newCounters(connection.NewPool(), control.NewHost(control.New("vm", 1)), &meshes{mesh: peer.New()})
+		c.observe(forward.Measure{Route: "r", Status: 200, First: time.Millisecond, Total: time.Second, Sends: 2, Refusal: outcome.Overloaded})
+		page, err := os.ReadFile("../../docs/operate/watch.md")
+		Expect(err).NotTo(HaveOccurred())
+		lines := strings.Split(strings.TrimSpace(string(c.text())), "\n")
+		Expect(len(lines)).To(BeNumerically(">", 15))
+		for _, line := range lines {
+			name := regexp.MustCompile(`^[a-z_]+`).FindString(line)
+			Expect(string(page)).To(ContainSubstring("`"+name+"`"), line)
+		}
+	})
+
+	It("count requests by route and status, and repeated sends", func() {
+		c := newCounters(connection.NewPool(), control.NewHost(control.New("vm", 1)), &meshes{mesh: peer.New()})
+		for range 3 {
+			c.observe(forward.Measure{Route: "r", Status: 200, First: 20 * time.Millisecond, Total: time.Second, Sends: 2})
+		}
+		text := string(c.text())
+		Expect(text).To(ContainSubstring("requests{route=\"r\",status=\"200\"} 3\n"))
+		Expect(text).To(ContainSubstring("repeated_sends 3\n"))
+		Expect(text).To(MatchRegexp(`first_ms\{route="r",quantile="0.5"\} (19|20)`))
+	})
+})
--- a/relay/vm/run.go
+++ b/relay/vm/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"time"
 
@@ -22,50 +23,73 @@
 	poolInterval = 5 * time.Second
 )
 
-// Run runs the VM of a settings file until it is told to stop; the error is that of a part that could not start or go on.
-func Run(path string, adapter Adapter) error {
+// VM is one running VM.
+type VM struct {
+	app     *fx.App
+	log     log.Interface
+	handler *logbook.Handler
+	failed  chan error
+	limit   time.Duration
+}
+
+// Start starts the VM of a settings file and returns once its listeners are open; the error is that of a part that could not start.
+func Start(path string, adapter Adapter, output io.Writer) (*VM, error) {
 	s, err := settings.Load(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	handler := logbook.New(os.Stdout, logbook.WithLines(s.Limits.Lines))
-	defer handler.Close(flushLimit)
 	level, err := log.ParseLevel(s.Log)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	logger := (&log.Logger{Handler: handler, Level: level}).WithField("vm", s.Name)
-	logger.WithFields(log.Fields{"centre": s.Centre, "first": s.Discovered.First, "seeds": len(s.Discovered.Seeds), "data": s.Data}).Info("start")
-	failed := make(chan error, 1)
-	app := fx.New(
-		fx.Supply(s, settingsFile(path), adapter, fx.Annotate(logger, fx.As(new(log.Interface)))),
+	v := &VM{handler: logbook.New(output, logbook.WithLines(s.Limits.Lines)), failed: make(chan error, 1), limit: s.Times.Stop}
+	v.log = (&log.Logger{Handler: v.handler, Level: level}).WithField("vm", s.Name)
+	v.log.WithFields(log.Fields{"centre": s.Centre, "first": s.Discovered.First, "seeds": len(s.Discovered.Seeds), "data": s.Data}).Info("start")
+	v.app = fx.New(
+		fx.Supply(s, settingsFile(path), adapter, fx.Annotate(v.log, fx.As(new(log.Interface)))),
 		fx.Provide(
 			newPool, newBudget, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newForwarder, newCounters, newOrders, newOperators,
 		),
 		fx.Invoke(runControl, runPool, runWatch, runParts, runOrders, runRequests, runMetrics, runReload, runCallers),
-		fx.Invoke(func(f failures, stop fx.Shutdowner) { f.watch(failed, stop) }),
+		fx.Invoke(func(f failures, stop fx.Shutdowner) { f.watch(v.failed, stop) }),
 		fx.StartTimeout(startLimit), fx.StopTimeout(s.Times.Stop), fx.NopLogger,
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
-	if err := app.Start(ctx); err != nil {
-		logger.WithField("cause", err.Error()).Error("start failed")
-		return err
+	if err := v.app.Start(ctx); err != nil {
+		v.log.WithField("cause", err.Error()).Error("start failed")
+		v.handler.Close(flushLimit)
+		return nil, err
 	}
-	signal := <-app.Wait()
-	logger.WithField("signal", signal.String()).Info("stop")
-	ctx, cancel = context.WithTimeout(context.Background(), s.Times.Stop)
+	return v, nil
+}
+
+// Stop ends the VM gracefully.
+func (v *VM) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), v.limit)
 	defer cancel()
-	err = app.Stop(ctx)
-	logger.Info("stopped")
+	err := v.app.Stop(ctx)
+	v.log.Info("stopped")
+	v.handler.Close(flushLimit)
 	select {
-	case err := <-failed:
+	case err := <-v.failed:
 		return err
 	default:
 		return err
 	}
 }
 
+// Run runs the VM of a settings file until it is told to stop; the error is that of a part that could not start or go on.
+func Run(path string, adapter Adapter) error {
+	v, err := Start(path, adapter, os.Stdout)
+	if err != nil {
+		return err
+	}
+	signal := <-v.app.Wait()
+	v.log.WithField("signal", signal.String()).Info("stop")
+	return v.Stop()
+}
+
 func newPool() *connection.Pool { return connection.NewPool() }
 
 // runPool closes unused connections.
