--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -89,6 +90,25 @@
 	}
 }
 
+// Held returns the parts that an engine or a store is known to hold, in order, and the life of its cache.
+func (c *Core) Held(name string) (epoch uint64, keys []uint64) {
+	var handle cache.Handle
+	if u := c.byName[name]; u != nil {
+		handle, epoch = u.handle, u.epoch
+	} else if s := c.stores[name]; s != nil {
+		handle, epoch = s.handle, s.epoch
+	} else {
+		return 0, nil
+	}
+	for key, list := range c.parts.held {
+		if slices.ContainsFunc(list, func(h holder) bool { return h.handle == handle }) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return epoch, keys
+}
+
 // Parts is news of the parts that an engine holds.
 type Parts struct {
 	Upstream string
--- a/relay/routing/reuse_test.go
+++ b/relay/routing/reuse_test.go
@@ -137,6 +137,21 @@
 		Expect(found.Cached).To(Equal(2500))
 	})
 
+	It("tells another VM all that an engine holds, so that a VM that restarts reads nothing again", func() {
+		core := reuseCore(2)
+		r := partly("1", 2500, 3800, 2900)
+		d := decideAt(core, 0, r)
+		epoch, keys := core.Held(d.Upstream)
+		Expect(keys).To(HaveLen(3))
+		restarted := reuseCore(2)
+		restarted.Step(0, routing.Parts{Upstream: d.Upstream, Epoch: epoch, Added: keys})
+		same := decideAt(restarted, 0, partly("2", 2500, 3800, 2900))
+		Expect(same.Upstream).To(Equal(d.Upstream))
+		Expect(same.Cached).To(Equal(6300))
+		_, none := core.Held("unknown")
+		Expect(none).To(BeEmpty())
+	})
+
 	It("prefers new weights once answers on older ones lose worth, and never begins on outdated ones", func() {
 		weights := func(i int, u *catalogue.Upstream) {
 			u.Slots, u.Cache, u.Weights = 96, 81_000, "1"
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -115,17 +115,19 @@
 	mesh     *peer.Mesh
 	host     *control.Host
 	dispatch *dispatch.Dispatcher
-	name     string
-	centre   string
-	callers  bool
-	mu       sync.Mutex
-	roster   *peer.Roster
-	dialled  map[string]bool
-	seeds    []string
+	// asked is told of VMs that want to know what engines hold.
+	asked   func(from string)
+	name    string
+	centre  string
+	callers bool
+	mu      sync.Mutex
+	roster  *peer.Roster
+	dialled map[string]bool
+	seeds   []string
 }
 
 func newMesh(s settings.Settings, node *control.Node, d *dispatch.Dispatcher, logger log.Interface) *meshes {
-	m := &meshes{dispatch: d, name: s.Name, centre: s.Centre, callers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
+	m := &meshes{dispatch: d, asked: func(string) {}, name: s.Name, centre: s.Centre, callers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
 	m.mesh = peer.New(
 		peer.WithName(s.Name, s.Centre, node.Life().Boot), peer.WithAddress(s.Listeners.Peers), peer.WithReceive(m.receive),
 		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithLog(logger),
@@ -142,6 +144,10 @@
 		hearNews(m.dispatch, news)
 		return
 	}
+	if message.Body.GetNewsRequest() != nil {
+		m.asked(message.From)
+		return
+	}
 	m.host.Deliver(message)
 }
 
--- a/relay/vm/parts.go
+++ b/relay/vm/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -73,6 +74,8 @@
 
 	mu      sync.Mutex
 	reading map[string]context.CancelFunc
+	// asks counts the requests for what the others know; they are few, and the first may find no session.
+	asks int
 }
 
 func runParts(lifecycle fx.Lifecycle, s settings.Settings, st *state, pool *connection.Pool, m *meshes, d *dispatch.Dispatcher, logger log.Interface) {
@@ -80,10 +83,14 @@
 		return
 	}
 	w := &partWatcher{settings: s, state: st, pool: pool, mesh: m, dispatch: d, log: logger, reading: map[string]context.CancelFunc{}}
+	m.asked = w.answer
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, watchInterval, func() { w.choose(ctx) })
+			go every(ctx, watchInterval, func() {
+				w.ask()
+				w.choose(ctx)
+			})
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -134,6 +141,35 @@
 	}
 }
 
+// mostAsks is the number of times that a VM which has just started asks the others what engines hold.
+const mostAsks = 3
+
+// ask asks the VMs of the cell for what they know, so that a restart is no cold start.
+func (w *partWatcher) ask() {
+	neighbours := cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre)
+	if len(neighbours) == 0 || w.state.list.Load() == nil || w.asks >= mostAsks {
+		return
+	}
+	w.asks++
+	for _, name := range neighbours {
+		w.mesh.mesh.Send(name, &peer.Envelope{Body: &peer.Envelope_NewsRequest{NewsRequest: &peer.NewsRequest{}}})
+	}
+}
+
+// answer tells a VM what the engines hold that are read here.
+func (w *partWatcher) answer(from string) {
+	w.mu.Lock()
+	ids := slices.Sorted(maps.Keys(w.reading))
+	w.mu.Unlock()
+	go w.dispatch.Read(func(_ time.Duration, core *routing.Core) {
+		for _, id := range ids {
+			if epoch, keys := core.Held(id); len(keys) > 0 {
+				w.mesh.mesh.Send(from, &peer.Envelope{Body: &peer.Envelope_News{News: &peer.News{Upstream: id, Epoch: epoch, Added: keys}}})
+			}
+		}
+	})
+}
+
 // mine reports whether this VM has the highest score for an engine among the VMs with callers, those of its data centre first.
 func (w *partWatcher) mine(u *directory.Upstream) bool {
 	roster := w.state.vms.Load()
