--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -171,24 +171,27 @@
 // readEvent returns the next whole event with its closing blank line, and its number if it has one. Bytes that a stream ends in
 // without a blank line are returned with io.EOF only if the answer ended as complete.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+	start := 0
 	for len(event) < maxEvent {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.ReadSlice('\n')
+		event = append(event, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
+			// The line goes on.
 			continue
 		}
-		if err != nil {
-			if !errors.Is(err, io.EOF) {
-				return nil, "", err
-			}
+		if text, ok := bytes.CutPrefix(event[start:], []byte("id:")); ok {
+			id = string(bytes.TrimSpace(text))
+		}
+		if errors.Is(err, io.EOF) {
 			return event, id, err
 		}
-		if text, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(text))
+		if err != nil {
+			return nil, "", err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if len(bytes.TrimRight(event[start:], "\r\n")) == 0 {
 			return event, id, nil
 		}
+		start = len(event)
 	}
 	return nil, "", errors.New("an event is larger than the limit")
 }
