Make the region a cell instead of the data centre

Change: the cell is the region up to 32 VMs with callers; its messages stay off the dear links. Sites of less than six VMs a data centre keep one cell.

--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -38,8 +38,8 @@
 	parts     *parts
 	lanes     map[string]*lane
 	stores    map[string]*store
-	// own says that this VM knows the engines of its own data centre only.
-	own   bool
+	// cell is how far away the engines stand that this VM knows well.
+	cell  Span
 	paces []float64
 }
 
@@ -68,6 +68,7 @@
 		parts:    newParts(),
 		lanes:    map[string]*lane{},
 		stores:   map[string]*store{},
+		cell:     Everywhere,
 	}
 }
 
@@ -115,7 +116,7 @@
 	c.pump(now, effects)
 }
 
-func (m Cell) apply(c *Core, _ time.Duration, _ *Effects) { c.own = m.Own }
+func (m Cell) apply(c *Core, _ time.Duration, _ *Effects) { c.cell = m.Span }
 
 func (m Leaving) apply(c *Core, now time.Duration, effects *Effects) {
 	u, ok := c.byName[m.Upstream]
--- a/relay/routing/lanes.go
+++ b/relay/routing/lanes.go
@@ -67,7 +67,7 @@
 	models := map[string][]*upstream{}
 	for _, u := range c.upstreams {
 		u.light, u.laned = false, false
-		if c.own && u.far > 0 {
+		if u.far > int(c.cell) {
 			continue
 		}
 		models[u.info.Model] = append(models[u.info.Model], u)
--- a/relay/routing/messages.go
+++ b/relay/routing/messages.go
@@ -94,8 +94,8 @@
 	Weights string
 }
 
-// Cell says that the VM shares its view with those of its data centre only: it knows little of other data centres' engines.
-type Cell struct{ Own bool }
+// Cell says how far the VMs stand that this one shares its view with: it knows little of engines farther away.
+type Cell struct{ Span Span }
 
 // Tick drives what depends on time alone; send one every 10 to 100 ms.
 type Tick struct{}
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -333,7 +333,7 @@
 	}
 	e.total = total + loadPrice*g.busy.congestion*e.prefill/target.Seconds()
 	e.total += u.laneCost(p, p.tokens-max(cached, e.kept))
-	if c.own && u.far > 0 {
+	if u.far > int(c.cell) {
 		e.total += outsidePrice
 	}
 	switch u.far {
@@ -370,7 +370,7 @@
 	}
 	p.homes.prefix = p.keys[len(p.keys)-2]
 	for _, u := range p.group.list {
-		if !u.closed && u.region&p.regions != 0 && (!c.own || u.far == 0) {
+		if !u.closed && u.region&p.regions != 0 && u.far <= int(c.cell) {
 			p.homes.insert(p.homes.score(u))
 		}
 	}
--- a/relay/routing/reuse_test.go
+++ b/relay/routing/reuse_test.go
@@ -58,6 +58,27 @@
 }
 
 var _ = Describe("reuse policy", func() {
+	It("uses what another data centre of its cell holds, which spares each data centre a reading of its own", func() {
+		elsewhere := func(i int, u *catalogue.Upstream) {
+			u.DataCentre, u.Region = []string{"dc", "dc2"}[i%2], "r"
+		}
+		used := map[routing.Span]int{}
+		for _, span := range []routing.Span{routing.Centre, routing.Region} {
+			core := reuseCore(4, elsewhere)
+			core.Step(0, routing.Cell{Span: span})
+			for i := range 40 {
+				r := partly(fmt.Sprint(i), 2000+i, 1500+i, 800)
+				d := decideAt(core, time.Duration(i)*time.Second, r)
+				finish(core, time.Duration(i)*time.Second+300*time.Millisecond, r, d.Upstream)
+				if d.Upstream == "u1" || d.Upstream == "u3" {
+					used[span]++
+				}
+			}
+		}
+		Expect(used[routing.Centre]).To(BeZero())
+		Expect(used[routing.Region]).To(BeNumerically(">=", 10))
+	})
+
 	It("sends a request where its shared parts are, which spares their prefill", func() {
 		core := reuseCore(4)
 		r := partly("1", 2500, 3800, 2900)
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -52,7 +52,7 @@
 			}
 		}
 		budget.Share(callers)
-		p.dispatch.Tell(routing.Cell{Own: inCell(st.vms.Load(), p.settings.Centre)})
+		p.dispatch.Tell(routing.Cell{Span: reach(st.vms.Load(), p.settings.Centre, p.settings.Discovered.Centres)})
 		configure()
 	}
 	return f
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -119,6 +119,7 @@
 	asked   func(from string)
 	name    string
 	centre  string
+	regions map[string]string
 	callers bool
 	mu      sync.Mutex
 	roster  *peer.Roster
@@ -127,7 +128,7 @@
 }
 
 func newMesh(s settings.Settings, node *control.Node, d *dispatch.Dispatcher, logger log.Interface) *meshes {
-	m := &meshes{dispatch: d, asked: func(string) {}, name: s.Name, centre: s.Centre, callers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
+	m := &meshes{dispatch: d, asked: func(string) {}, name: s.Name, centre: s.Centre, regions: s.Discovered.Centres, callers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
 	m.mesh = peer.New(
 		peer.WithName(s.Name, s.Centre, node.Life().Boot), peer.WithAddress(s.Listeners.Peers), peer.WithReceive(m.receive),
 		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithLog(logger),
@@ -177,7 +178,7 @@
 		wanted[name] = true
 	}
 	if m.callers {
-		for _, name := range cell(r, m.name, m.centre) {
+		for _, name := range cell(r, m.name, m.centre, m.regions) {
 			if name > m.name {
 				wanted[name] = true
 			}
--- a/relay/vm/parts.go
+++ b/relay/vm/parts.go
@@ -146,7 +146,7 @@
 
 // ask asks the VMs of the cell for what they know, so that a restart is no cold start.
 func (w *partWatcher) ask() {
-	neighbours := cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre)
+	neighbours := cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre, w.settings.Discovered.Centres)
 	if len(neighbours) == 0 || w.state.list.Load() == nil || w.asks >= mostAsks {
 		return
 	}
@@ -276,7 +276,7 @@
 
 func (w *partWatcher) broadcast(news *peer.News) {
 	envelope := &peer.Envelope{Body: &peer.Envelope_News{News: news}}
-	for _, name := range cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre) {
+	for _, name := range cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre, w.settings.Discovered.Centres) {
 		w.mesh.mesh.Send(name, envelope)
 	}
 }
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -140,7 +140,7 @@
 
 // digest tells the neighbours what this VM has in progress and which prompts it sees often.
 func (w *watcher) digest() {
-	neighbours := cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre)
+	neighbours := cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre, w.settings.Discovered.Centres)
 	if len(neighbours) == 0 {
 		return
 	}
