Spread the readings of the platform's list by VMs without a leader

Cause: a VM that hears nothing of the leader's reading read all pages every 700 ms. 90 VMs then make 390 calls a second where a platform takes 50; no reading is whole and the leader's neither. Ruled out: the leader alone reading the list, since a VM that starts cut off from control would have none. Change: a pure core spaces the readings, by tripled pauses after refusals with chance in them, and pages that were read stay for the next try.

--- /dev/null
+++ b/relay/vm/reading.go
@@ -0,0 +1,58 @@
+package vm
+
+import (
+	"time"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
+)
+
+const (
+	// readingLongest is the longest pause between readings of the platform's list by a VM that does not lead: 90 VMs that read three
+	// pages each then make 23 calls a second, half of what a platform may allow.
+	readingLongest = 12 * time.Second
+	// partialLimit is the age from which the pages that were read before a refused one are read again.
+	partialLimit = 15 * time.Second
+)
+
+// reading is what a VM that hears nothing of the leader's reading does itself. All VMs may be in that state at once, and the platform
+// refuses more calls than its rate: their readings spread until it takes them, or none would be whole and the leader's neither.
+type reading struct {
+	next  time.Duration
+	pause time.Duration
+}
+
+// due reports whether to read now.
+func (r *reading) due(now time.Duration) bool { return now >= r.next }
+
+// failed triples the pause; chance is between 0 and 1.
+func (r *reading) failed(now time.Duration, chance float64) {
+	r.pause = min(max(3*r.pause, listInterval), readingLongest)
+	r.next = now + time.Duration((0.5+chance)*float64(r.pause))
+}
+
+// succeeded keeps the pause, which says how busy the platform is, and lets the leader's next reading come first.
+func (r *reading) succeeded(now time.Duration, chance float64) {
+	r.next = now + max(listSilence, time.Duration((0.5+chance)*float64(2*r.pause)))
+}
+
+// partial holds the pages that were read before one was refused, so that each call that the platform takes brings a reading forward.
+type partial struct {
+	upstreams []directory.Upstream
+	page      string
+	asked     time.Duration
+}
+
+// begin drops pages that are too old and returns when the first one was asked for.
+func (p *partial) begin(now time.Duration) time.Duration {
+	if p.page == "" || now-p.asked > partialLimit {
+		*p = partial{asked: now}
+	}
+	return p.asked
+}
+
+// add adds a page and reports whether it was the last.
+func (p *partial) add(upstreams []directory.Upstream, next string) bool {
+	p.upstreams = append(p.upstreams, upstreams...)
+	p.page = next
+	return next == ""
+}
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -44,6 +45,8 @@
 	log      log.Interface
 	lost     bool
 	turn     int
+	reading  reading
+	partial  partial
 }
 
 func runWatch(lifecycle fx.Lifecycle, s settings.Settings, st *state, host *control.Host, pool *connection.Pool, m *meshes, d *dispatch.Dispatcher, logger log.Interface) {
@@ -78,16 +81,29 @@
 // list reads the platform's list on the leader, and on a VM that has not heard of the leader's reading lately.
 func (w *watcher) list(ctx context.Context) {
 	leader := w.settings.Data != "" && leads(w.host)
-	if !leader && (w.settings.Data != "" || w.state.list.Load() != nil && w.host.Now()-w.host.View().Listed < listSilence) {
-		return
+	now := w.host.Now()
+	if !leader {
+		if w.settings.Data != "" {
+			return
+		}
+		if w.state.list.Load() != nil && now-w.host.View().Listed < listSilence {
+			w.reading = reading{}
+			return
+		}
+		if !w.reading.due(now) {
+			return
+		}
 	}
-	asked := w.host.Now()
-	upstreams, err := readList(ctx, w.pool, w.settings.Platform, w.state.adapter.List)
-	if err != nil {
-		w.log.WithField("cause", err.Error()).WithField("age", asked-w.state.listed).Warn("platform list not read")
+	asked := w.partial.begin(now)
+	if err := w.pages(ctx); err != nil {
+		w.reading.failed(w.host.Now(), rand.Float64())
+		w.log.WithField("cause", err.Error()).WithField("age", now-w.state.listed).WithField("upstreams", len(w.partial.upstreams)).Warn("platform list not read")
 		w.lost = true
 		return
 	}
+	w.reading.succeeded(w.host.Now(), rand.Float64())
+	upstreams := w.partial.upstreams
+	w.partial = partial{}
 	if w.lost {
 		w.log.WithField("upstreams", len(upstreams)).Info("platform list read again")
 		w.lost = false
@@ -98,24 +114,21 @@
 	}
 }
 
-// readList reads all pages.
-func readList(ctx context.Context, pool *connection.Pool, address netip.AddrPort, codec ListCodec) ([]directory.Upstream, error) {
-	var all []directory.Upstream
-	page := ""
+// pages reads the pages that are still missing.
+func (w *watcher) pages(ctx context.Context) error {
+	codec := w.state.adapter.List
 	for {
-		status, body, err := call(ctx, pool, address, codec.Request(page), listLimit)
+		status, body, err := call(ctx, w.pool, w.settings.Platform, codec.Request(w.partial.page), listLimit)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		upstreams, next, err := codec.Answer(status, body)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		all = append(all, upstreams...)
-		if next == "" {
-			return all, nil
+		if w.partial.add(upstreams, next) {
+			return nil
 		}
-		page = next
 	}
 }
 
