Dial control VMs and leaders that are no seeds

Cause: after a power loss of all VMs, a leader that is no seed is dialled by nobody: a VM followed a leader's name only if it was a seed or in a roster, and rosters come from the leader. Change: a VM learns the control VM that a refusal of a lease names, and a voter the members in its own log; both are dialled.

--- a/relay/control/node.go
+++ b/relay/control/node.go
@@ -179,6 +179,9 @@
 func (n *Node) Tick(at Moment) (Effects, error) {
 	return n.step(at, func() error {
 		if n.voter != nil {
+			for _, member := range n.voter.core.Members() {
+				n.learnControls(member.Name)
+			}
 			if err := n.voterTick(); err != nil {
 				return err
 			}
@@ -322,7 +325,8 @@
 
 // redirect follows a control VM's word on who leads; a VM that names itself or the one that just failed is not followed.
 func (n *Node) redirect(from, leader string) {
-	if leader != from && slices.Contains(n.controls, leader) {
+	if leader != from && leader != "" {
+		n.learnControls(leader)
 		n.leader = leader
 		return
 	}
--- a/relay/control/roster.go
+++ b/relay/control/roster.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -58,6 +59,29 @@
 	n.effects.Roster = roster
 }
 
+// learnControls adds control VMs that this VM has heard of, so that it is connected to them before a leader has told it the roster:
+// after a restart of all VMs the leader may be no seed.
+func (n *Node) learnControls(names ...string) {
+	var news []string
+	for _, name := range names {
+		if name != "" && name != n.name && !slices.Contains(n.controls, name) {
+			news = append(news, name)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	n.controls = append(slices.Clone(n.controls), news...)
+	roster := &peer.Roster{}
+	if n.roster != nil {
+		roster, _ = proto.Clone(n.roster).(*peer.Roster)
+	}
+	roster.Controls = append(roster.Controls, news...)
+	n.roster = roster
+	n.effects.Roster = roster
+	n.notice("control VMs heard of", strings.Join(news, " "))
+}
+
 // Seed replaces the control VMs that are known without the roster.
 func (n *Node) Seed(at Moment, names []string) (Effects, error) {
 	return n.step(at, func() error {
