Keep pages of the platform's list only after a refusal for too many calls

Cause: read as a newcomer, a reading that ended with another error went on at the same mark up to 15 s later, on the leader too: a mark that means nothing any more would have stopped its list for as long, and an upstream that began to leave on an earlier page would have been missed. Ruled out: reading from the first page each time, which the model of 93 VMs at 50 calls a second never completes. Change: pages are kept after ErrBusy only, by the leader for 1.4 s. A test of the age fails without it.

--- a/relay/vm/parts.go
+++ b/relay/vm/parts.go
@@ -34,8 +34,8 @@
 	watchInterval = 500 * time.Millisecond
 )
 
-// ErrBusy is the error of an engine that serves as many readers of cache events as it can.
-var ErrBusy = errors.New("the engine has too many readers of its cache events")
+// ErrBusy is the error of an engine or a platform that takes no more calls at the moment; try again later.
+var ErrBusy = errors.New("too many calls at the moment; try again later")
 
 // PartEvent says that an engine has taken a part into its cache, or dropped it.
 type PartEvent struct {
--- a/relay/vm/reading.go
+++ b/relay/vm/reading.go
@@ -10,8 +10,10 @@
 	// readingLongest is the longest pause between readings of the platform's list by a VM that does not lead: 90 VMs that read three
 	// pages each then make 23 calls a second, half of what a platform may allow.
 	readingLongest = 12 * time.Second
-	// partialLimit is the age from which the pages that were read before a refused one are read again.
+	// partialLimit is the age from which the pages that were read before a refused one are read again by a VM that knows no newer list.
 	partialLimit = 15 * time.Second
+	// leaderPartialLimit is the same for the leader, whose list must show leaving upstreams within a few seconds.
+	leaderPartialLimit = 2 * listInterval
 )
 
 // reading is what a VM that hears nothing of the leader's reading does itself. All VMs may be in that state at once, and the platform
@@ -43,8 +45,8 @@
 }
 
 // begin drops pages that are too old and returns when the first one was asked for.
-func (p *partial) begin(now time.Duration) time.Duration {
-	if p.page == "" || now-p.asked > partialLimit {
+func (p *partial) begin(now, limit time.Duration) time.Duration {
+	if p.page == "" || now-p.asked > limit {
 		*p = partial{asked: now}
 	}
 	return p.asked
--- a/relay/vm/reading_test.go
+++ b/relay/vm/reading_test.go
@@ -35,7 +35,7 @@
 		return true, partials[i].add(one, next)
 	}
 	read := func(i int, now time.Duration) bool {
-		partials[i].begin(now)
+		partials[i].begin(now, partialLimit)
 		for {
 			taken, whole := page(i, now)
 			if whole || !taken {
@@ -71,6 +71,16 @@
 		Expect(late).To(BeNumerically("<", 10*50))
 	})
 
+	It("drops pages that are too old, since upstreams that leave meanwhile would be missed", func() {
+		var p partial
+		Expect(p.begin(0, leaderPartialLimit)).To(BeZero())
+		Expect(p.add([]directory.Upstream{{ID: "a"}}, "2")).To(BeFalse())
+		Expect(p.begin(time.Second, leaderPartialLimit)).To(BeZero())
+		Expect(p.upstreams).To(HaveLen(1))
+		Expect(p.begin(2*time.Second, leaderPartialLimit)).To(Equal(2 * time.Second))
+		Expect(p.upstreams).To(BeEmpty())
+	})
+
 	It("costs a VM alone one reading each time the leader's is too old", func() {
 		last, late := platformRate(1, 50, 3, 25*time.Second)
 		Expect(last).To(BeZero())
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -94,8 +95,16 @@
 			return
 		}
 	}
-	asked := w.partial.begin(now)
+	limit := partialLimit
+	if leader {
+		limit = leaderPartialLimit
+	}
+	asked := w.partial.begin(now, limit)
 	if err := w.pages(ctx); err != nil {
+		if !errors.Is(err, ErrBusy) {
+			// The mark of the next page may mean nothing any more.
+			w.partial = partial{}
+		}
 		w.reading.failed(w.host.Now(), rand.Float64())
 		w.log.WithField("cause", err.Error()).WithField("age", now-w.state.listed).WithField("upstreams", len(w.partial.upstreams)).Warn("platform list not read")
 		w.lost = true
