Leave the platform's rate to VMs that have no list yet

Cause: the model in reading_test.go read a VM's pages at once, which is not how calls of 93 VMs mix. Change: after a refusal, a whole reading is followed by a pause of 8 to 16 s, and a refused one doubles the pause instead of tripling it.

--- a/relay/vm/reading.go
+++ b/relay/vm/reading.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// readingLongest is the longest pause between readings of the platform's list by a VM that does not lead: 90 VMs that read three
-	// pages each then make 23 calls a second, half of what a platform may allow.
-	readingLongest = 12 * time.Second
+	// readingLongest is the longest mean pause before a VM that does not lead tries again to read the platform's list, and two thirds
+	// of the mean pause after a whole reading: 93 VMs that read three pages each then make 23 calls a second, half of what a platform
+	// with 100 VMs may allow.
+	readingLongest = 8 * time.Second
 	// partialLimit is the age from which the pages that were read before a refused one are read again by a VM that knows no newer list.
 	partialLimit = 15 * time.Second
 	// leaderPartialLimit is the same for the leader, whose list must show leaving upstreams within a few seconds.
@@ -26,15 +27,19 @@
 // due reports whether to read now.
 func (r *reading) due(now time.Duration) bool { return now >= r.next }
 
-// failed triples the pause; chance is between 0 and 1.
+// failed doubles the pause; chance is between 0 and 1.
 func (r *reading) failed(now time.Duration, chance float64) {
-	r.pause = min(max(3*r.pause, listInterval), readingLongest)
+	r.pause = min(max(2*r.pause, listInterval), readingLongest)
 	r.next = now + time.Duration((0.5+chance)*float64(r.pause))
 }
 
-// succeeded keeps the pause, which says how busy the platform is, and lets the leader's next reading come first.
+// succeeded lets the leader's next reading come first. Where calls were refused, it leaves them to VMs that have no list yet.
 func (r *reading) succeeded(now time.Duration, chance float64) {
-	r.next = now + max(listSilence, time.Duration((0.5+chance)*float64(2*r.pause)))
+	if r.pause == 0 {
+		r.next = now + listSilence
+		return
+	}
+	r.next = now + time.Duration((1+chance)*float64(readingLongest))
 }
 
 // partial holds the pages that were read before one was refused, so that each call that the platform takes brings a reading forward.
