--- a/relay/routing/engine_test.go
+++ b/relay/routing/engine_test.go
@@ -181,7 +181,10 @@
 func (e *fakeEngine) hold(j *job, tokens int) {
 	j.held += tokens
 	e.held += tokens
-	for e.tokens+e.held > e.info.Cache && (e.evict() || e.preempt()) {
+	for e.tokens+e.held > e.info.Cache {
+		if !e.evict() && !e.preempt() {
+			return
+		}
 	}
 }
 
