Let one of two that ask for votes at once step back

Ruled out: equal draws of the VMs; they come from the system's source. Change: a VM that asks and is asked by one of a lesser name votes for it and waits. It concerns the first question only, which raises no term.

--- a/coord/quorum/election.go
+++ b/coord/quorum/election.go
@@ -62,6 +62,11 @@
 
 func (c *Core) answerPreVote(m Message) {
 	if m.Term > c.term && !c.leaderAlive() && c.upToDate(m) {
+		if c.role == PreCandidate && m.From.Name < c.self.Name {
+			// Of two that ask at once one steps back, or each would vote for itself.
+			c.role, c.votes = Follower, nil
+			c.deadline = c.now + c.soon()
+		}
 		c.send(m.From, Message{Kind: PreVoteReply, Term: m.Term})
 		return
 	}
--- a/coord/quorum/scenario_test.go
+++ b/coord/quorum/scenario_test.go
@@ -201,7 +201,7 @@
 })
 
 // leaderAfterRestart returns how long a group of three needs for a leader after all stop at once and one comes back with an empty disk.
-func leaderAfterRestart(seed uint64) time.Duration {
+func leaderAfterRestart(seed uint64, alike bool) time.Duration {
 	GinkgoHelper()
 	w := newWorld(seed, 3)
 	w.run(10 * time.Second)
@@ -212,6 +212,7 @@
 	}
 	lost.disk.Wipe()
 	w.lost = append(w.lost, lost.id)
+	w.alike = alike
 	w.run(w.now + 2500*time.Millisecond)
 	stopped := w.now
 	for _, n := range w.nodes[:3] {
@@ -232,7 +233,18 @@
 	It("has a leader soon although the two that can vote may ask for votes at the same time and each vote for itself", func() {
 		for seed := range uint64(200) {
 			// Two waits before votes are asked for: the first after the start, one more after split votes.
-			Expect(leaderAfterRestart(seed+1)).To(BeNumerically("<", 2*electionTimeout*3/4), "seed %d", seed+1)
+			Expect(leaderAfterRestart(seed+1, false)).To(BeNumerically("<", 2*electionTimeout*3/4), "seed %d", seed+1)
 		}
 	})
+
+	It("has a leader after the first question even if both always ask at the same time", func() {
+		late := 0
+		for seed := range uint64(100) {
+			if leaderAfterRestart(seed+1, true) >= electionTimeout*3/4 {
+				late++
+			}
+		}
+		// Of the four messages that it takes, two in a hundred are late in the model by up to two seconds: eight such runs on average.
+		Expect(late).To(BeNumerically("<=", 20))
+	})
 })
--- a/coord/quorum/world_test.go
+++ b/coord/quorum/world_test.go
@@ -83,6 +83,8 @@
 	sends   map[quorum.MessageKind]int
 	// restless groups elect often, restart right after votes, and get many late messages.
 	restless bool
+	// alike nodes have equal clocks and draw the same waits.
+	alike bool
 	// voters is the number of voters that the group grows to; 0 admits no new names.
 	voters  int
 	observe func(*node, quorum.Entry)
@@ -147,12 +149,16 @@
 		journal.WithRandom(w.random.Uint64), journal.WithSegmentSize(2000))
 	w.check(err)
 	n.journal, n.id, n.up, n.booted = j, stored.Identity, true, w.now
+	draws := w.random.Uint64()
+	if w.alike {
+		draws, n.rate = 1, 1
+	}
 	heartbeat, election := 300*time.Millisecond, 1500*time.Millisecond
 	if w.restless && w.now < faultTime {
 		heartbeat, election = 30*time.Millisecond, 60*time.Millisecond
 	}
 	n.core = quorum.New(quorum.WithTimeouts(heartbeat, election), quorum.WithIdentity(stored.Identity), quorum.WithCluster("g"), quorum.WithState(stored.State),
-		quorum.WithPeers(w.names), quorum.WithRandom(rand.New(rand.NewPCG(w.random.Uint64(), 0))),
+		quorum.WithPeers(w.names), quorum.WithRandom(rand.New(rand.NewPCG(draws, 0))),
 		quorum.WithRepairAfter(5*time.Second), quorum.WithCompaction(30, 5), quorum.WithFlow(300, 3), quorum.WithSnapshots(50, 1<<20), quorum.WithVoters(w.voters))
 	n.machine = machine{index: stored.State.Snapshot.Index}
 	w.restore(n, stored.State.Snapshot)
