Tell neighbours of placements of long prompts at once

Change: a placement whose prompt must be read, from 512 tokens on, is told to the cell at once, with the parts that the engine will hold.

--- a/relay/dispatch/digest.go
+++ b/relay/dispatch/digest.go
@@ -80,6 +80,23 @@
 	d.tell(digest)
 }
 
+// announce tells the neighbours of a placement, if anybody listens.
+func (d *Dispatcher) announce(placed *routing.Placed) {
+	if placed == nil || d.placed == nil {
+		return
+	}
+	d.placed(&peer.Envelope{Body: &peer.Envelope_Placed{Placed: &peer.Placed{
+		Upstream: placed.Upstream, Prompt: uint32(placed.Prompt), Memory: uint32(placed.Memory), Epoch: placed.Epoch, Parts: placed.Parts,
+	}}})
+}
+
+// HearPlaced takes a neighbour's word of a placement.
+func (d *Dispatcher) HearPlaced(vm string, m *peer.Placed) {
+	d.tell(routing.Placed{
+		VM: vm, Upstream: m.GetUpstream(), Prompt: int(m.GetPrompt()), Memory: int(m.GetMemory()), Epoch: m.GetEpoch(), Parts: m.GetParts(),
+	})
+}
+
 func counts(numbers map[string]int) []*peer.Count {
 	list := make([]*peer.Count, 0, len(numbers))
 	for _, name := range slices.Sorted(maps.Keys(numbers)) {
--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 )
 
@@ -25,8 +26,10 @@
 	upstreams map[string]catalogue.Upstream
 	// configured is closed once the core knows a configuration.
 	configured chan struct{}
-	done       chan struct{}
-	stop       context.CancelFunc
+	// placed is told of placements that neighbours should know of at once.
+	placed func(*peer.Envelope)
+	done   chan struct{}
+	stop   context.CancelFunc
 }
 
 // New returns a dispatcher that is not yet running.
@@ -38,6 +41,10 @@
 	}
 }
 
+// OnPlaced sets what is called with a message for each placement that neighbours should know of at once; it must not block, and is set
+// before Run.
+func (d *Dispatcher) OnPlaced(placed func(*peer.Envelope)) { d.placed = placed }
+
 // Configured returns a channel that is closed once the core knows a configuration.
 func (d *Dispatcher) Configured() <-chan struct{} { return d.configured }
 
@@ -148,6 +155,7 @@
 }
 
 func (d *Dispatcher) placement(decision routing.Decision) placement {
+	d.announce(decision.Notice)
 	p := placement{decision: decision, upstream: d.upstreams[decision.Upstream], fetch: d.upstreams[decision.Fetch], save: d.upstreams[decision.Save]}
 	if decision.Import != nil {
 		p.exporter = &Import{From: d.upstreams[decision.Import.From], Incarnation: decision.Import.Incarnation}
--- a/relay/routing/compare_test.go
+++ b/relay/routing/compare_test.go
@@ -55,6 +55,7 @@
 	calls := s.trace(seed)
 	if policy == routing.Reuse {
 		w.every(partsInterval, w.tellParts)
+		w.every(digestInterval, w.gossip)
 		for _, c := range calls {
 			c.inParts()
 		}
--- a/relay/routing/decide.go
+++ b/relay/routing/decide.go
@@ -141,7 +141,8 @@
 	}
 	c.fairness.Serve(f.request.Account, seconds(f.service/float64(p.group.slots)))
 	c.send(now, f, u, d.Cached, false)
-	c.keepParts(now, u, p)
+	c.hold(now, u.handle, p.keys)
+	d.Notice = c.notice(u, p, d.Cached)
 	// Parts that are read now are kept where another engine can fetch them once this one has evicted them.
 	if s := c.storeFor(u); s != nil && d.Cached < p.shared {
 		d.Save = s.info.Name
--- a/relay/routing/engine_test.go
+++ b/relay/routing/engine_test.go
@@ -26,6 +26,8 @@
 	// partsLag is the age of news of parts, partsInterval the spacing at which the core hears of them.
 	partsLag      = 80 * time.Millisecond
 	partsInterval = 50 * time.Millisecond
+	// digestInterval is how often VMs before such engines share their views.
+	digestInterval = 150 * time.Millisecond
 )
 
 // fakeEngine batches up to its slots: a step computes one chunk of prompts by priority and one token of each answer. Running requests
--- a/relay/routing/request.go
+++ b/relay/routing/request.go
@@ -68,6 +68,8 @@
 	// Save is the store that the engine sends the parts to that it reads.
 	Save  string
 	Hedge *Hedge
+	// Notice is what neighbours are told at once, nil for nothing.
+	Notice *Placed
 	// Queued says that a later message releases the request as a Dispatch.
 	Queued  bool
 	Place   int
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -393,12 +393,5 @@
 	}
 }
 
-// keepParts notes that an engine is about to hold a request's parts.
-func (c *Core) keepParts(now time.Duration, u *upstream, p *plan) {
-	for _, key := range p.keys {
-		c.parts.add(now, key, u.handle)
-	}
-}
-
 // PartHash identifies a part's ID in Request.Parts.
 func PartHash(id string) uint64 { return xxhash.Sum64String(id) }
--- a/relay/routing/reuse_test.go
+++ b/relay/routing/reuse_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -269,6 +271,68 @@
 	}, Entry("memory is free", false, true), Entry("memory is full", true, false))
 })
 
+// burst lets VMs place checks of books of their own within the time between two digests, and returns the checks of each engine.
+func burst(vms, engines, checks int, told bool) map[string]int {
+	GinkgoHelper()
+	cores := make([]*routing.Core, vms)
+	for i := range cores {
+		cores[i] = reuseCore(engines)
+	}
+	for _, from := range cores {
+		for i, to := range cores {
+			if to != from {
+				digest := from.Digest(0)
+				digest.VM = fmt.Sprint("vm", slices.Index(cores, from))
+				cores[i].Step(0, digest)
+			}
+		}
+	}
+	went := map[string]int{}
+	for n := range checks {
+		now := time.Duration(n) * 5 * time.Millisecond
+		at := n % vms
+		d := decideAt(cores[at], now, partly(fmt.Sprint("check", n), 2520, 3000+n, 2890))
+		went[d.Upstream]++
+		Expect(d.Notice).NotTo(BeNil())
+		for i, core := range cores {
+			if notice := *d.Notice; told && i != at {
+				notice.VM = fmt.Sprint("vm", at)
+				core.Step(now, notice)
+			}
+		}
+	}
+	return went
+}
+
+var _ = Describe("checks of many VMs between two digests", func() {
+	It("are spread over the engines, which VMs that wait for digests overload", func() {
+		most := func(told bool) int {
+			return slices.Max(slices.Collect(maps.Values(burst(20, 12, 60, told))))
+		}
+		// One and a half times the mean of 5.
+		Expect(most(true)).To(BeNumerically("<=", 7))
+		Expect(most(false)).To(BeNumerically(">", 7))
+	})
+
+	It("find parts that another VM just had read, also where the list tells of the engine's weights later", func() {
+		newer := func(_ int, u *catalogue.Upstream) { u.Slots, u.Cache, u.Weights = 96, 81_000, "2" }
+		knows, late := reuseCore(4, newer), reuseCore(4)
+		first := decideAt(knows, 0, partly("first", 2520, 3780, 2890))
+		notice := *first.Notice
+		notice.VM = "vm1"
+		late.Step(0, notice)
+		late.Step(time.Second, routing.Upstreams{List: fleet(4, newer)})
+		second := decideAt(late, time.Second, partly("second", 2520, 3780, 2890))
+		Expect(second.Upstream).To(Equal(first.Upstream))
+		Expect(second.Cached).To(Equal(6300))
+	})
+
+	It("are not told of when they have little to read", func() {
+		core := reuseCore(2)
+		Expect(decideAt(core, 0, partly("note", 119, 79, 200)).Notice).To(BeNil())
+	})
+})
+
 // partlyNamed returns a request with parts of the given names.
 func partlyNamed(id string, names []string, tokens ...int) routing.Request {
 	r := routing.Request{ID: id, Model: "m", AnswerTokens: 10, Target: 600 * time.Millisecond}
--- a/relay/routing/upstream.go
+++ b/relay/routing/upstream.go
@@ -201,9 +201,9 @@
 		c.upstreams = append(c.upstreams, u)
 		c.join(u)
 	} else if u.version() != (Version{info.Model, info.Adapter, info.Weights}) {
-		// An engine that loads another version drops its cache.
+		// An engine that loads another version drops its cache. What others told of its parts may be newer than the list that tells of
+		// the version; it is kept, since parts are known under a salt that names the version.
 		c.cache.Clear(u.handle)
-		c.parts.drop(u.handle)
 		u.full = false
 		u.group.drop(u)
 		u.group.count()
--- a/relay/routing/world_test.go
+++ b/relay/routing/world_test.go
@@ -196,6 +196,9 @@
 
 func (w *world) send(c *call, d routing.Decision) {
 	w.check(c, d)
+	if d.Notice != nil {
+		w.after(0.001, func() { w.all(*d.Notice) })
+	}
 	j := &job{engine: w.engines[d.Upstream], call: c, priority: d.Priority}
 	c.jobs = append(c.jobs, j)
 	if source := w.engines[d.Fetch]; source != nil {
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -125,6 +126,8 @@
 	roster  *peer.Roster
 	dialled map[string]bool
 	seeds   []string
+	// neighbours are the other VMs of the cell.
+	neighbours atomic.Pointer[[]string]
 }
 
 func newMesh(s settings.Settings, node *control.Node, d *dispatch.Dispatcher, logger log.Interface) *meshes {
@@ -133,14 +136,28 @@
 		peer.WithName(s.Name, s.Centre, node.Life().Boot), peer.WithAddress(s.Listeners.Peers), peer.WithReceive(m.receive),
 		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithLog(logger),
 	)
+	d.OnPlaced(m.broadcast)
 	return m
 }
 
+// broadcast sends a message to the other VMs of the cell.
+func (m *meshes) broadcast(envelope *peer.Envelope) {
+	if names := m.neighbours.Load(); names != nil {
+		for _, name := range *names {
+			m.mesh.Send(name, envelope)
+		}
+	}
+}
+
 func (m *meshes) receive(message peer.Message) {
 	if digest := message.Body.GetDigest(); digest != nil {
 		m.dispatch.Hear(message.From, digest)
 		return
 	}
+	if placed := message.Body.GetPlaced(); placed != nil {
+		m.dispatch.HearPlaced(message.From, placed)
+		return
+	}
 	if news := message.Body.GetNews(); news != nil {
 		hearNews(m.dispatch, news)
 		return
@@ -178,7 +195,9 @@
 		wanted[name] = true
 	}
 	if m.callers {
-		for _, name := range cell(r, m.name, m.centre, m.regions) {
+		names := cell(r, m.name, m.centre, m.regions)
+		m.neighbours.Store(&names)
+		for _, name := range names {
 			if name > m.name {
 				wanted[name] = true
 			}
--- a/relay/vm/parts.go
+++ b/relay/vm/parts.go
@@ -276,9 +276,7 @@
 
 func (w *partWatcher) broadcast(news *peer.News) {
 	envelope := &peer.Envelope{Body: &peer.Envelope_News{News: news}}
-	for _, name := range cell(w.state.vms.Load(), w.settings.Name, w.settings.Centre, w.settings.Discovered.Centres) {
-		w.mesh.mesh.Send(name, envelope)
-	}
+	w.mesh.broadcast(envelope)
 }
 
 // hearNews tells the routing core what an engine holds.
