Give the own engine the figures of the users' sheets, and play their work in the experiment

Cause: policies were compared on an engine with an eighth of a chunk's speed, one rate per answer and a memory that running requests did not share, so nothing said there held on the users' machines. Change: a batch step takes its own time, a share for each running request and the prompts' time; running requests may share the cache's memory, start only if it holds them and are preempted when answers need it. The experiment plays the checks and notes of both sheets, runs policy reuse with declared parts and engines that tell what they hold, and a bound with full knowledge.

--- a/bench/cmd_experiment.go
+++ b/bench/cmd_experiment.go
@@ -28,6 +28,7 @@
 	centres  int
 	span     string
 	imports  time.Duration
+	full     bool
 }
 
 var spans = map[string]routing.Span{"centre": routing.Centre, "region": routing.Region, "everywhere": routing.Everywhere}
@@ -42,7 +43,7 @@
 		RunE:  func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
 	}
 	flags := cmd.Flags()
-	flags.StringVar(&f.workload, "workload", "coop", "coop or baths")
+	flags.StringVar(&f.workload, "workload", "coop", "coop or baths, or coop-sheet or baths-sheet for the language-model work of a user's sheet")
 	flags.StringVar(&f.without, "without", "", "kind of work to leave out, such as long")
 	flags.StringSliceVar(&f.policies, "policy", []string{"cost", "hash", "least", "robin"}, "policies to compare")
 	flags.IntVar(&f.seeds, "seeds", 3, "number of traces, with seeds from 1")
@@ -51,6 +52,7 @@
 	flags.Float64Var(&f.slow, "slow", 0, "factor by which a third of the upstreams is slowed from a quarter to three quarters of the trace; 0 slows none")
 	flags.IntVar(&f.centres, "centres", 3, "number of data centres, each a region of its own")
 	flags.StringVar(&f.span, "span", "everywhere", "how far the homes of prefixes may stand: centre, region or everywhere")
+	flags.BoolVar(&f.full, "full-knowledge", false, "one VM that hears of everything at once, as a bound for what many VMs can reach")
 	flags.DurationVar(&f.imports, "import", 25*time.Microsecond, "time to import one token's KV cache; 0 turns imports off")
 	return cmd
 }
@@ -70,7 +72,11 @@
 			if err != nil {
 				return err
 			}
-			result, err := experiment.Run(settings, policy.New(settings, uint64(seed), routing.WithPolicy(routing.Policy(name)), routing.WithSpan(span), routing.WithImport(f.imports)))
+			routers := policy.New
+			if routing.Policy(name) == routing.Reuse {
+				routers = policy.Reuse
+			}
+			result, err := experiment.Run(settings, routers(settings, uint64(seed), routing.WithPolicy(routing.Policy(name)), routing.WithSpan(span), routing.WithImport(f.imports)))
 			if err != nil {
 				return err
 			}
@@ -82,24 +88,25 @@
 }
 
 func (f *experimentFlags) settings(seed uint64) (experiment.Settings, error) {
-	defaults := map[string]func() trace.Settings{"coop": trace.DefaultCoop, "baths": trace.DefaultBaths}
+	user, sheet := strings.CutSuffix(f.workload, "-sheet")
 	fleets := map[string]func([]trace.Entry) experiment.Settings{"coop": experiment.Coop, "baths": experiment.Baths}
-	if defaults[f.workload] == nil {
-		return experiment.Settings{}, oops.Code("experiment").Errorf("workload: use coop or baths")
-	}
-	generator := defaults[f.workload]()
-	generator.Seed, generator.Duration = seed, f.duration
-	if f.rate > 0 {
-		generator.Rate = f.rate
+	if fleets[user] == nil {
+		return experiment.Settings{}, oops.Code("experiment").Errorf("workload: use coop, baths, coop-sheet or baths-sheet")
 	}
-	entries, err := trace.Generate(generator)
+	entries, err := f.entries(user, sheet, seed)
 	if err != nil {
 		return experiment.Settings{}, err
 	}
 	if f.without != "" {
 		entries = trace.Without(entries, trace.Kind(f.without))
 	}
-	settings := fleets[f.workload](entries)
+	settings := fleets[user](entries)
+	if sheet || slices.Contains(f.policies, string(routing.Reuse)) {
+		settings = settings.Sheet()
+	}
+	if f.full {
+		settings = settings.Full()
+	}
 	if f.slow > 0 {
 		settings = settings.SlowThird(engine.Slow{From: f.duration / 4, Until: 3 * f.duration / 4, Factor: f.slow})
 	}
@@ -112,6 +119,24 @@
 	return settings, nil
 }
 
+// entries generates a trace; a rate that is set replaces the workload's own, for sheets that of both kinds together.
+func (f *experimentFlags) entries(user string, sheet bool, seed uint64) ([]trace.Entry, error) {
+	if sheet {
+		s := map[string]func() trace.Sheet{"coop": trace.CoopSheet, "baths": trace.BathsSheet}[user]()
+		if f.rate > 0 {
+			factor := f.rate / (s.Checks + s.Notes)
+			s.Checks, s.Notes = s.Checks*factor, s.Notes*factor
+		}
+		return s.Generate(seed, f.duration), nil
+	}
+	generator := map[string]func() trace.Settings{"coop": trace.DefaultCoop, "baths": trace.DefaultBaths}[user]()
+	generator.Seed, generator.Duration = seed, f.duration
+	if f.rate > 0 {
+		generator.Rate = f.rate
+	}
+	return trace.Generate(generator)
+}
+
 func (f *experimentFlags) place(i int) experiment.Place {
 	n := i%f.centres + 1
 	return experiment.Place{Centre: fmt.Sprintf("centre%d", n), Region: fmt.Sprintf("region%d", n)}
--- a/bench/experiment/router.go
+++ b/bench/experiment/router.go
@@ -54,6 +54,8 @@
 	Failed func(now time.Duration, request, upstream string) []Decision
 	// Report hands over an upstream's load report.
 	Report func(now time.Duration, upstream string, report engine.Report) []Decision
+	// Changes hands over what an upstream's cache took in and dropped since the last call.
+	Changes func(now time.Duration, upstream string, incarnation uint64, changes []engine.Change) []Decision
 	// Tick is called at each tick.
 	Tick func(now time.Duration) []Decision
 }
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -35,8 +35,10 @@
 // run is one experiment in progress.
 type run struct {
 	Settings
-	routers  []Router
-	engines  []*engine.Engine
+	routers []Router
+	engines []*engine.Engine
+	// read is the number of the next cache event of each engine.
+	read     []uint64
 	due      []time.Duration
 	byName   map[string]int
 	clock    clock
@@ -59,7 +61,7 @@
 	}
 	r := &run{
 		Settings: s, routers: routers, byName: map[string]int{}, works: map[string]*work{}, attempts: map[string]*attempt{},
-		due: make([]time.Duration, len(s.Upstreams)), collect: report.NewCollector(s.Name),
+		due: make([]time.Duration, len(s.Upstreams)), read: make([]uint64, len(s.Upstreams)), collect: report.NewCollector(s.Name),
 	}
 	for i, upstream := range s.Upstreams {
 		settings := upstream.Engine
@@ -113,6 +115,9 @@
 	}
 	r.every(r.Tick, r.tick)
 	r.every(r.Poll, r.poll)
+	if r.Events > 0 {
+		r.every(r.Events, r.readEvents)
+	}
 }
 
 func (r *run) every(interval time.Duration, do func(now time.Duration)) {
@@ -172,6 +177,30 @@
 	}
 }
 
+// mostEvents bounds the cache events of one reading.
+const mostEvents = 4000
+
+// readEvents hands each engine's cache events to every VM after the way there.
+func (r *run) readEvents(now time.Duration) {
+	for i, upstream := range r.Upstreams {
+		e := r.engines[i]
+		changes := e.Changes(now, r.read[i], mostEvents)
+		r.drain(now, i)
+		if len(changes) == 0 {
+			continue
+		}
+		r.read[i] = changes[len(changes)-1].Seq + 1
+		for vm, router := range r.routers {
+			if router.Changes == nil {
+				continue
+			}
+			r.clock.add(now+r.delay(r.VMs[vm], upstream.Place), func(now time.Duration) {
+				r.apply(now, vm, router.Changes(now, upstream.Name, e.Incarnation(), changes))
+			})
+		}
+	}
+}
+
 // drain steps one engine and sends its events on their way to the VMs.
 func (r *run) drain(now time.Duration, i int) {
 	for _, event := range r.engines[i].Step(now) {
--- a/bench/experiment/settings.go
+++ b/bench/experiment/settings.go
@@ -43,9 +43,10 @@
 	Upstreams []Upstream
 	// VMs are the places of the routers; entries arrive at them in turn.
 	VMs []Place
-	// Tick is the spacing of ticks, Poll that of load reports.
-	Tick time.Duration
-	Poll time.Duration
+	// Tick is the spacing of ticks, Poll that of load reports, Events that of readings of cache events; 0 reads none.
+	Tick   time.Duration
+	Poll   time.Duration
+	Events time.Duration
 	// BetweenCentres and BetweenRegions are one-way delays.
 	BetweenCentres time.Duration
 	BetweenRegions time.Duration
@@ -55,23 +56,25 @@
 	Limit time.Duration
 }
 
-// Users' fleets: replicas, entry VMs and cache sizes that put the cache under pressure, as on the platform.
+// Users' fleets: replicas, their memory in tokens, and entry VMs.
 const (
 	regions       = 3
 	coopReplicas  = 9
+	coopMemory    = 81_468
 	bathsReplicas = 12
+	bathsMemory   = 93_888
 	entryVMs      = 6
-	replicaCache  = 96_000
-	replicaBlock  = 64
 )
 
 // Coop returns the settings of the cordial makers' fleet for a trace.
-func Coop(entries []trace.Entry) Settings { return fleet("coop", coopReplicas, entries) }
+func Coop(entries []trace.Entry) Settings { return fleet("coop", coopReplicas, coopMemory, entries) }
 
 // Baths returns the settings of the baths' fleet for a trace.
-func Baths(entries []trace.Entry) Settings { return fleet("baths", bathsReplicas, entries) }
+func Baths(entries []trace.Entry) Settings {
+	return fleet("baths", bathsReplicas, bathsMemory, entries)
+}
 
-func fleet(name string, replicas int, entries []trace.Entry) Settings {
+func fleet(name string, replicas, memory int, entries []trace.Entry) Settings {
 	s := Settings{
 		Name: name, Entries: entries, Tick: 100 * time.Millisecond, Poll: 500 * time.Millisecond,
 		BetweenCentres: time.Millisecond, BetweenRegions: 6 * time.Millisecond, Limit: 10 * time.Minute,
@@ -81,8 +84,8 @@
 		return Place{Centre: fmt.Sprintf("centre%d", n), Region: fmt.Sprintf("region%d", n)}
 	}
 	for i := range replicas {
-		settings := engine.Default()
-		settings.Cache, settings.Block, settings.EventKeep, settings.Quiet = replicaCache, replicaBlock, 0, true
+		settings := engine.Users(memory)
+		settings.EventKeep, settings.Quiet = 0, true
 		settings.Incarnation = uint64(i + 1)
 		s.Upstreams = append(s.Upstreams, Upstream{Name: fmt.Sprintf("engine%d", i+1), Place: place(i), Engine: settings})
 	}
@@ -92,6 +95,27 @@
 	return s
 }
 
+// Sheet returns a fleet's settings with the intervals of the users' machines, where VMs read what engines hold.
+func (s Settings) Sheet() Settings {
+	s.Tick, s.Events = 20*time.Millisecond, 100*time.Millisecond
+	for i := range s.Upstreams {
+		s.Upstreams[i].Engine.EventKeep = 1 << 14
+	}
+	return s
+}
+
+// Full returns the settings with one VM that hears of everything within a millisecond and of no other VM.
+func (s Settings) Full() Settings {
+	s.VMs = s.VMs[:1]
+	s.Tick, s.Poll, s.Events = time.Millisecond, 10*time.Millisecond, time.Millisecond
+	s.BetweenCentres, s.BetweenRegions = 0, 0
+	for i := range s.Upstreams {
+		e := &s.Upstreams[i].Engine
+		e.EventLag, e.EventLoss, e.ReportLag = 0, 0, 0
+	}
+	return s
+}
+
 // SlowThird slows each third upstream by the factor during a window.
 func (s Settings) SlowThird(window engine.Slow) Settings {
 	s.Slow = nil
--- a/bench/policy/router.go
+++ b/bench/policy/router.go
@@ -12,8 +12,12 @@
 	"github.com/chicoryrelay/chicoryrelay/standin/engine"
 )
 
-// digestInterval is how often VMs share their views.
-const digestInterval = time.Second
+// digestInterval is how often VMs share their views, as the daemon does; partsInterval is the same of VMs before engines that tell
+// which parts they hold.
+const (
+	digestInterval = time.Second
+	partsInterval  = 150 * time.Millisecond
+)
 
 // Links between data centres and regions, as the daemon has them.
 var (
@@ -24,6 +28,12 @@
 // Fleet is the routing cores of all VMs of an experiment.
 type Fleet struct {
 	vms []*vm
+	// parts are the keys of the parts of prompts by the hash of the block that ends them; nil if no parts are declared.
+	parts map[uint64]uint64
+	// block is the length of a block of the engines' caches in tokens.
+	block int
+	// digests is how often VMs share their views.
+	digests time.Duration
 }
 
 // vm is one VM's routing core.
@@ -54,14 +64,14 @@
 
 // New returns one router for each VM of the settings, all with the same options.
 func New(s experiment.Settings, seed uint64, options ...routing.Option) []experiment.Router {
-	f := &Fleet{}
-	var upstreams []catalogue.Upstream
-	for _, u := range s.Upstreams {
-		upstreams = append(upstreams, catalogue.Upstream{
-			Name: u.Name, Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: u.Centre, Region: u.Region, Kind: catalogue.Engine,
-			Model: "base", Weights: "1", Slots: u.Engine.Slots, Cache: u.Engine.Cache, State: catalogue.Active,
-		})
-	}
+	return build(s, &Fleet{digests: digestInterval}, seed, options)
+}
+
+// anyAddress stands for the engines' addresses, which no decision reads.
+var anyAddress = netip.MustParseAddrPort("127.0.0.1:1")
+
+func build(s experiment.Settings, f *Fleet, seed uint64, options []routing.Option) []experiment.Router {
+	upstreams := upstreamsOf(s)
 	accounts := accountsOf(s)
 	var routers []experiment.Router
 	for i, place := range s.VMs {
@@ -125,7 +135,8 @@
 				Age: time.Duration(r.Age) * time.Millisecond,
 			})
 		},
-		Tick: v.tick,
+		Changes: v.changed,
+		Tick:    v.tick,
 	}
 }
 
@@ -134,8 +145,12 @@
 	question := request{answer: e.Answer, Request: routing.Request{
 		ID: r.ID, Account: e.Account, Assistant: e.Assistant, Model: "base", PromptTokens: e.Prompt, AnswerTokens: e.Answer, Idempotent: true,
 	}}
-	for _, level := range e.Levels {
-		question.Levels = append(question.Levels, prompt.Level{Hash: level.Hash, Tokens: level.Tokens})
+	if v.fleet.parts != nil {
+		v.fleet.declare(&question.Request, e)
+	} else {
+		for _, level := range e.Levels {
+			question.Levels = append(question.Levels, prompt.Level{Hash: level.Hash, Tokens: level.Tokens})
+		}
 	}
 	if e.Deadline > 0 {
 		question.Deadline = now + e.Deadline
@@ -158,7 +173,17 @@
 	if d.Import != nil {
 		exporter = d.Import.From
 	}
+	if d.Fetch != "" {
+		exporter = d.Fetch
+	}
 	v.copies[id] = append(v.copies[id], d.Upstream)
+	if d.Notice != nil {
+		for _, other := range v.fleet.vms {
+			if other != v {
+				other.late = append(other.late, other.step(now, *d.Notice)...)
+			}
+		}
+	}
 	return experiment.Decision{Request: id, Verdict: experiment.Dispatch, Upstream: d.Upstream, Priority: d.Priority, Import: exporter}
 }
 
--- a/bench/policy/tick.go
+++ b/bench/policy/tick.go
@@ -34,7 +34,7 @@
 		v.prompts[id] = request{Request: question, answer: v.prompts[id].answer}
 		decisions = append(decisions, v.translate(now, id, v.core.Decide(now, question)))
 	}
-	if now >= v.told+digestInterval {
+	if now >= v.told+v.fleet.digests {
 		v.told = now
 		digest := v.core.Digest(now)
 		for _, other := range v.fleet.vms {
--- a/bench/trace/trace_test.go
+++ b/bench/trace/trace_test.go
@@ -98,3 +98,39 @@
 		Expect(trace.Unlimited(entries, 16, func(e trace.Entry) []uint64 { return e.Chain(16) })).To(Equal([]int{0, 64, 0, 63}))
 	})
 })
+
+var _ = Describe("sheet", func() {
+	It("is the same for the same seed only", func() {
+		s := trace.CoopSheet()
+		Expect(s.Generate(1, time.Minute)).To(Equal(s.Generate(1, time.Minute)))
+		Expect(s.Generate(1, time.Minute)).NotTo(Equal(s.Generate(2, time.Minute)))
+	})
+
+	DescribeTable("has the rates of the user's sheet", func(s trace.Sheet) {
+		checks, notes := 0, 0
+		for _, e := range s.Generate(1, 50*s.Period) {
+			if e.Kind == trace.Batch {
+				checks++
+			} else {
+				notes++
+			}
+		}
+		seconds := (50 * s.Period).Seconds()
+		Expect(float64(checks) / seconds).To(BeNumerically("~", s.Checks, s.Checks/10))
+		Expect(float64(notes) / seconds).To(BeNumerically("~", s.Notes, s.Notes/10))
+	}, Entry("co-operative", trace.CoopSheet()), Entry("baths", trace.BathsSheet()))
+
+	It("shares books and topics among requests, in prompts of the sheet's lengths", func() {
+		tokens, count := 0.0, 0.0
+		texts := map[uint64]int{}
+		for _, e := range trace.CoopSheet().Generate(1, time.Minute) {
+			if e.Kind == trace.Batch {
+				tokens += float64(e.Prompt)
+				count++
+				texts[e.Levels[1].Hash]++
+			}
+		}
+		Expect(tokens / count).To(BeNumerically("~", 9190, 1000))
+		Expect(len(texts)).To(BeNumerically("<=", 80))
+	})
+})
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -44,8 +44,14 @@
 	e.admitImports()
 	for len(e.waiting) > 0 && len(e.running) < e.settings.Slots {
 		s := e.waiting[0]
-		e.waiting = e.waiting[1:]
 		e.start(s)
+		if e.settings.Shared && len(e.running) > 0 && e.blocksOf(s.length)-len(s.blocks) > e.cache.free() {
+			e.stop(s)
+			break
+		}
+		e.waiting = e.waiting[1:]
+		e.totals.Prompt += s.Prompt
+		e.totals.Cached += s.cached
 		// The prompt chunk of a step goes to running requests in this order.
 		at := sort.Search(len(e.running), func(i int) bool { return e.running[i].Priority > s.Priority })
 		e.running = slices.Insert(e.running, at, s)
@@ -66,10 +72,7 @@
 		}
 	}
 	prefilled := e.settings.Chunk - budget
-	length := float64(prefilled) / e.settings.Prefill
-	if decoding > 0 {
-		length += 1 / e.settings.Decode
-	}
+	length := float64(prefilled)/e.settings.Prefill + 1/e.settings.Decode + e.settings.PerRunning.Seconds()*float64(len(e.running))
 	factor, until := e.factor(at)
 	round := max(time.Microsecond, time.Duration(length*factor*float64(time.Second)))
 	rounds := 1
@@ -78,6 +81,9 @@
 		if until > 0 {
 			rounds = min(rounds, int((until-at+round-1)/round))
 		}
+		if e.settings.Shared {
+			rounds = min(rounds, max(1, e.cache.free()*e.settings.Block/decoding))
+		}
 	}
 	e.step = step{busy: true, start: at, end: at + time.Duration(rounds)*round, round: round, rounds: rounds}
 }
@@ -88,8 +94,8 @@
 		return
 	}
 	done := int((e.now - e.step.start) / e.step.round)
-	for _, s := range e.running {
-		if done > 0 {
+	for _, s := range slices.Clone(e.running) {
+		if done > 0 && slices.Contains(e.running, s) {
 			e.emit(s, done)
 		}
 	}
@@ -103,15 +109,48 @@
 	salt := e.cache.salt(s.Salt)
 	s.blocks = e.cache.match(salt, s.Chain)
 	s.cached = min(len(s.blocks)*e.settings.Block, s.Prompt-1)
-	s.todo = s.Prompt - s.cached + s.From
-	e.totals.Prompt += s.Prompt
-	e.totals.Cached += s.cached
+	// What a preempted request has made is read in again.
+	s.length = s.Prompt + s.next
+	s.todo = s.length - s.cached
+}
+
+// stop takes a request's memory.
+func (e *Engine) stop(s *sequence) {
+	e.cache.release(s.blocks)
+	e.cache.held -= s.held
+	s.blocks, s.held = nil, 0
+}
+
+func (e *Engine) blocksOf(tokens int) int { return (tokens + e.settings.Block - 1) / e.settings.Block }
+
+// hold gives a running request the memory for its tokens so far; where it runs short, the least urgent one that runs goes back to the
+// queue, the newest among equals.
+func (e *Engine) hold(s *sequence, tokens int) {
+	if !e.settings.Shared {
+		return
+	}
+	more := e.blocksOf(tokens) - len(s.blocks) - s.held
+	s.held += more
+	e.cache.held += more
+	for !e.cache.room(0) && len(e.running) > 1 {
+		victim := e.running[len(e.running)-1]
+		e.stop(victim)
+		victim.full = false
+		e.running = e.running[:len(e.running)-1]
+		at := sort.Search(len(e.waiting), func(i int) bool { return e.waiting[i].Priority >= victim.Priority })
+		e.waiting = slices.Insert(e.waiting, at, victim)
+		e.totals.Preempted++
+	}
 }
 
 // complete emits the tokens of the step that just ended.
 func (e *Engine) complete() {
 	var ended []*sequence
-	for _, s := range e.running {
+	for _, s := range slices.Clone(e.running) {
+		if !slices.Contains(e.running, s) {
+			// It was preempted for another one's memory.
+			continue
+		}
 		if s.todo > 0 {
 			if s.share == 0 {
 				continue
@@ -141,7 +180,7 @@
 	s.todo -= s.share
 	s.computed += s.share
 	e.totals.Computed += s.share
-	position := s.Prompt + s.From - s.todo
+	position := s.length - s.todo
 	salt := e.cache.salt(s.Salt)
 	for !s.full && len(s.blocks) < len(s.Chain) && (len(s.blocks)+1)*e.settings.Block <= position {
 		b := e.cache.store(salt, s.Chain, len(s.blocks))
@@ -151,6 +190,7 @@
 		}
 		s.blocks = append(s.blocks, b)
 	}
+	e.hold(s, position)
 }
 
 func (e *Engine) emit(s *sequence, tokens int) {
@@ -159,6 +199,9 @@
 		e.out = append(e.out, Event{At: e.now, Request: s.ID, Kind: Word, Seq: s.next, Cached: s.cached, Computed: s.computed})
 	}
 	s.next += tokens
+	if s.next < s.Answer {
+		e.hold(s, s.Prompt+s.next)
+	}
 }
 
 // factor returns the slow-down at a time and when it next changes, 0 for never.
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -27,6 +27,9 @@
 	salts  map[string]uint32
 	names  []string
 	root   block
+	// pinned are the blocks that requests use, held is the memory in blocks that running requests have beside them.
+	pinned int
+	held   int
 	// changed is called for each block that enters or leaves.
 	changed func(kind ChangeKind, salt string, b *block)
 }
@@ -77,16 +80,15 @@
 		c.pin(b)
 		return b
 	}
-	for (len(c.blocks)+1)*c.size > c.limit {
-		if !c.evict() {
-			return nil
-		}
+	if !c.room(1) {
+		return nil
 	}
 	b := &block{key: k, tokens: (i + 1) * c.size, refs: 1}
 	if i > 0 {
 		b.parent = chain[i-1]
 	}
 	c.blocks[k] = b
+	c.pinned++
 	c.changed(Stored, c.names[salt], b)
 	return b
 }
@@ -94,6 +96,7 @@
 func (c *cache) pin(b *block) {
 	if b.refs == 0 {
 		b.prev.next, b.next.prev = b.next, b.prev
+		c.pinned++
 	}
 	b.refs++
 }
@@ -103,12 +106,26 @@
 	for _, b := range slices.Backward(blocks) {
 		b.refs--
 		if b.refs == 0 {
+			c.pinned--
 			b.prev, b.next = c.root.prev, &c.root
 			b.prev.next, b.next.prev = b, b
 		}
 	}
 }
 
+// room evicts unused blocks until n more fit and reports whether they do.
+func (c *cache) room(n int) bool {
+	for (len(c.blocks)+c.held+n)*c.size > c.limit {
+		if !c.evict() {
+			return false
+		}
+	}
+	return true
+}
+
+// free returns the memory in blocks that no running request takes.
+func (c *cache) free() int { return c.limit/c.size - c.pinned - c.held }
+
 func (c *cache) evict() bool {
 	b := c.root.next
 	if b == &c.root {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -54,6 +54,8 @@
 	Cached   int
 	Computed int
 	Decoded  int
+	// Preempted counts requests that gave their memory back and were read in again.
+	Preempted int
 }
 
 type sequence struct {
@@ -66,6 +68,9 @@
 	next     int
 	blocks   []*block
 	full     bool
+	// held is the memory in blocks beside the cached ones, length the tokens to be in memory before the next one of the answer.
+	held   int
+	length int
 }
 
 // Engine is one replica of a model; it is not safe for concurrent use and its times must not decrease.
@@ -162,8 +167,7 @@
 
 func (e *Engine) drop(s *sequence) {
 	delete(e.byID, s.ID)
-	e.cache.release(s.blocks)
-	s.blocks = nil
+	e.stop(s)
 	same := func(other *sequence) bool { return other == s }
 	e.waiting = slices.DeleteFunc(e.waiting, same)
 	e.running = slices.DeleteFunc(e.running, same)
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -280,3 +280,54 @@
 	note(e.Step(forever))
 	return times
 }
+
+var _ = Describe("engine whose running requests share the cache's memory", func() {
+	users := func(memory, slots int) *engine.Engine {
+		settings := engine.Users(memory)
+		settings.Slots = slots
+		return engine.New(engine.WithSettings(settings))
+	}
+
+	It("takes a step's own time, the requests' share of it and the prompts' for each step, as the users' engines do", func() {
+		e := users(81_468, 96)
+		first := run(e, 0, request("a", 1, 64, 1)).At
+		Expect(first).To(BeNumerically("~", 4630*time.Microsecond+11600*time.Nanosecond+time.Second*1024/41_400, time.Microsecond))
+	})
+
+	It("starts no request that its memory can't hold beside those that run", func() {
+		e := users(160, 8)
+		Expect(e.Submit(0, request("a", 1, 6, 40))).To(Succeed())
+		Expect(e.Submit(0, request("b", 2, 6, 1))).To(Succeed())
+		found := finishes(e.Step(forever))
+		Expect(found["b"].At).To(BeNumerically(">", found["a"].At))
+	})
+
+	It("holds a prefix once for all requests that use it", func() {
+		e := users(160, 8)
+		Expect(e.Submit(0, request("a", 1, 6, 40))).To(Succeed())
+		e.Step(100 * time.Millisecond)
+		Expect(e.Submit(100*time.Millisecond, request("b", 1, 6, 1))).To(Succeed())
+		found := finishes(e.Step(forever))
+		Expect(found["b"].At).To(BeNumerically("<", found["a"].At))
+		Expect(found["b"].Cached).To(Equal(95))
+	})
+
+	It("sends the least urgent request back when answers need its memory, and goes on with it where it was", func() {
+		e := users(320, 8)
+		late := request("late", 2, 8, 120)
+		late.Priority = 5
+		Expect(e.Submit(0, late)).To(Succeed())
+		Expect(e.Submit(0, request("soon", 1, 8, 120))).To(Succeed())
+		events := e.Step(forever)
+		found := finishes(events)
+		Expect(e.Totals().Preempted).To(BeNumerically(">", 0))
+		Expect(found["late"].At).To(BeNumerically(">", found["soon"].At))
+		var own []engine.Event
+		for _, event := range events {
+			if event.Request == "late" {
+				own = append(own, event)
+			}
+		}
+		expectSequences(own, 0, 120)
+	})
+})
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -23,13 +23,17 @@
 	Slots int
 	// Prefill is the prompt rate of the whole batch in tokens per second.
 	Prefill float64
-	// Decode is the rate of one answer in tokens per second while no prompt is computed; prompts in the batch lengthen each step.
-	Decode float64
+	// Decode is the rate of a lone answer in tokens per second: each batch step takes 1/Decode seconds, PerRunning for each request in
+	// it, and the time of the prompt tokens that it computes.
+	Decode     float64
+	PerRunning time.Duration
 	// Chunk is the number of prompt tokens computed in one batch step at most.
 	Chunk int
-	// Block is the length of a cache block in tokens; Cache is the memory of the prefix cache in tokens.
-	Block int
-	Cache int
+	// Block is the length of a cache block in tokens; Cache is the memory of the prefix cache in tokens, which Shared says that
+	// running requests share: cached blocks that none of them uses yield first, then the least urgent request that runs.
+	Block  int
+	Cache  int
+	Shared bool
 	// EventLag delays cache events; EventLoss is the share of them that is lost; EventKeep is the number kept for readers, 0 turns them off.
 	EventLag  time.Duration
 	EventLoss float64
@@ -81,6 +85,17 @@
 	return func(s *Settings) { s.Cache, s.Block = tokens, block }
 }
 
+// Users returns the settings of an engine as on the users' machines, with its memory in tokens.
+func Users(memory int) Settings {
+	s := Default()
+	s.Slots, s.Prefill, s.Decode, s.PerRunning, s.Chunk = 96, 41_400, 1/0.00463, 11600*time.Nanosecond, 1024
+	s.Block, s.Cache, s.Shared = 16, memory, true
+	s.EventLag, s.EventLoss, s.ReportLag = 80*time.Millisecond, 0.03, 200*time.Millisecond
+	// A token takes 262,144 bytes on links of 550 Gbit/s.
+	s.Import, s.Loading = 262_268, 380*time.Millisecond
+	return s
+}
+
 // WithEvents sets the delay of cache events, the share that is lost and the number kept; 0 turns them off.
 func WithEvents(lag time.Duration, loss float64, keep int) Option {
 	return func(s *Settings) { s.EventLag, s.EventLoss, s.EventKeep = lag, loss, keep }
