Keep engines set aside for short prompts through a wave

Change: engines are set aside at once when short work needs them, and given back after 20 s in which it did not.

--- a/relay/routing/lanes.go
+++ b/relay/routing/lanes.go
@@ -20,6 +20,9 @@
 	leastLanes = 3
 	// lightMemory is the time constant of the rate of short work.
 	lightMemory = 3 * time.Second
+	// laneHold is how long engines stay set aside that the short work no longer needs, longer than the sheets' waves of 13 and 17 s: an
+	// engine that changes lanes has both kinds of work for a while.
+	laneHold = 20 * time.Second
 	// heavyPrice is what a long prefill costs beside short answers that must not pause, strayPrice what a short answer loses beside
 	// long prefills, in parts of a request's worth.
 	heavyPrice = 0.4
@@ -30,6 +33,17 @@
 type lane struct {
 	at   time.Duration
 	work float64
+	// count is the number of engines set aside, needed when that many were last needed.
+	count  int
+	needed time.Duration
+}
+
+// engines returns the number of engines to set aside when the work needs the given one: at once more, after a while fewer.
+func (l *lane) engines(now time.Duration, need int) int {
+	if need >= l.count || now-l.needed > laneHold {
+		l.count, l.needed = need, now
+	}
+	return l.count
 }
 
 // add takes prefill work in seconds.
@@ -83,7 +97,7 @@
 				rate += float64(peer.light[model]) / lightUnit
 			}
 		}
-		count := min(len(list)/2, max(1, int(math.Ceil(rate/lightShare))))
+		count := l.engines(now, min(len(list)/2, max(1, int(math.Ceil(rate/lightShare)))))
 		for i, u := range rankByRegion(list) {
 			u.light, u.laned = i < count, true
 		}
--- a/relay/routing/reuse_test.go
+++ b/relay/routing/reuse_test.go
@@ -406,11 +406,23 @@
 
 // play returns how many checks and notes each engine got, and the lesser of both.
 func (l load) play(core *routing.Core, seconds int) (checks, notes, both map[string]int) {
+	checks, notes = l.extend(&wave{core: core, waiting: map[string]func(string){}}, seconds)
+	both = map[string]int{}
+	for engine := range notes {
+		both[engine] = min(checks[engine], notes[engine])
+	}
+	return checks, notes, both
+}
+
+// extend plays the load for some more seconds.
+func (l load) extend(w *wave, seconds int) (checks, notes map[string]int) {
 	random := rand.New(rand.NewPCG(4, 4))
-	checks, notes, both = map[string]int{}, map[string]int{}, map[string]int{}
-	w := &wave{core: core, waiting: map[string]func(string){}}
-	for step := range seconds * 100 {
-		w.now = time.Duration(step) * 10 * time.Millisecond
+	checks, notes = map[string]int{}, map[string]int{}
+	for step := int(w.now / (10 * time.Millisecond)); seconds > 0; step++ {
+		if step%100 == 99 {
+			seconds--
+		}
+		w.now = time.Duration(step+1) * 10 * time.Millisecond
 		w.tell(routing.Tick{})
 		w.end()
 		if random.Float64() < l.checks/100 {
@@ -424,10 +436,7 @@
 			w.send(note, 30*time.Millisecond, 500*time.Millisecond, notes)
 		}
 	}
-	for engine := range notes {
-		both[engine] = min(checks[engine], notes[engine])
-	}
-	return checks, notes, both
+	return checks, notes
 }
 
 var _ = Describe("lanes under the load of long checks beside short notes", func() {
@@ -446,6 +455,22 @@
 		Expect(mixed).To(BeNumerically("<", all/5))
 	})
 
+	It("stay as they are through the trough of a wave, in which an engine that changes lanes would have both kinds of work", func() {
+		w := &wave{core: reuseCore(9), waiting: map[string]func(string){}}
+		_, crest := load{notes: 80}.extend(w, 8)
+		checks, _ := load{checks: 20, notes: 8}.extend(w, 9)
+		stray, all := 0, 0
+		for engine, n := range checks {
+			all += n
+			// Notes that a busy moment sent elsewhere make no lane.
+			if crest[engine] > 40 {
+				stray += n
+			}
+		}
+		Expect(all).To(BeNumerically(">", 100))
+		Expect(stray).To(BeNumerically("<", all/20))
+	})
+
 	It("leave no engine idle beside too few for the notes when these grow", func() {
 		_, few, _ := load{notes: 10}.play(reuseCore(9), 8)
 		_, many, _ := load{notes: 80}.play(reuseCore(9), 8)
