--- a/bench/trace/sheet.go
+++ b/bench/trace/sheet.go
@@ -1,7 +1,6 @@
 package trace
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -115,6 +114,3 @@
 func exponential(random *rand.Rand, mean float64, limit int) int {
 	return min(limit, 1+int(random.ExpFloat64()*(mean-1)))
 }
-
-// String names the sheet's rates.
-func (s Sheet) String() string { return fmt.Sprintf("%.1f checks/s, %.1f notes/s", s.Checks, s.Notes) }
