Bound the bytes that an upstream may send without end

Cause: connection.readHeader parsed headers from an unlimited reader, so one upstream that poured header lines took a process to hundreds of MB before the deadline; interim responses were not counted; 50 answers or events together could occupy more than a VM has. Ruled out: trailers and chunk size lines, which net/http bounds itself (shown by tests).

--- a/relay/connection/channel.go
+++ b/relay/connection/channel.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -22,6 +23,9 @@
 	lastReceived *atomic.Int64
 	// used is set once the connection has carried a request.
 	used bool
+	// readingHead is set while response headers are read; headLeft is the number of bytes that may still be received for them.
+	readingHead bool
+	headLeft    int
 }
 
 func newPooledConn(p *Pool, address netip.AddrPort, conn net.Conn, lastReceived *atomic.Int64) *pooledConn {
@@ -33,9 +37,25 @@
 // readBufferSize is in bytes.
 const readBufferSize = 4096
 
+// maxHeadBytes limits the bytes received for the headers of one exchange: those of interim responses and of responses to other
+// requests count as well. It bounds the memory that an upstream in trouble can occupy, and is above the headers of usual servers.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLarge ends an exchange whose response headers exceed maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("upstream sent more than %d bytes of response headers; check what answers at its address", maxHeadBytes)
+
 // Read reads from the connection and records the time of the last received byte.
 func (c *pooledConn) Read(into []byte) (int, error) {
+	if c.readingHead {
+		if c.headLeft <= 0 {
+			return 0, errHeadTooLarge
+		}
+		into = into[:min(len(into), c.headLeft)]
+	}
 	n, err := c.conn.Read(into)
+	if c.readingHead {
+		c.headLeft -= n
+	}
 	if n > 0 {
 		c.lastReceived.Store(c.pool.now().UnixNano())
 	}
--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -22,6 +22,9 @@
 // maxForeignResponses limits the responses to other requests that are skipped while waiting for one response.
 const maxForeignResponses = 3
 
+// maxInterimResponses limits the interim (1xx) responses that are skipped while waiting for one response.
+const maxInterimResponses = 8
+
 // maxSkippedBytes limits the body of one skipped response.
 const maxSkippedBytes = 1 << 20
 
@@ -67,6 +70,9 @@
 	once        sync.Once
 	// Reused reports whether the connection had carried an earlier request.
 	Reused bool
+	// Unframed reports that the body has neither a length nor chunks: it ends where the upstream closes the connection, so that a
+	// body which broke off can look complete.
+	Unframed bool
 }
 
 // Do sends a request once and returns when the response's header has arrived. After an error other than *NotSentError the
@@ -132,15 +138,25 @@
 // readHeader reads response headers until one belongs to the request; it skips 1xx responses and responses to other requests.
 func (resp *Response) readHeader(r *Request) error {
 	request := &http.Request{Method: r.Method}
-	for foreign := 0; ; {
+	resp.pooledConn.headLeft = maxHeadBytes
+	for foreign, interim := 0, 0; ; {
+		resp.pooledConn.readingHead = true
 		response, err := http.ReadResponse(resp.pooledConn.reader, request)
+		resp.pooledConn.readingHead = false
 		if err != nil {
+			if resp.pooledConn.headLeft <= 0 {
+				// The parser reports a malformed line instead if the limit cuts one.
+				return errHeadTooLarge
+			}
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 				return fmt.Errorf("%w: %w", ErrClosed, err)
 			}
 			return err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			if interim++; interim > maxInterimResponses {
+				return fmt.Errorf("upstream sent more than %d interim responses; check what answers at its address", maxInterimResponses)
+			}
 			continue
 		}
 		if r.Matches != nil && !r.Matches(response.Header) {
@@ -155,6 +171,7 @@
 		}
 		resp.Status, resp.Header, resp.Length, resp.body = response.StatusCode, response.Header, response.ContentLength, response.Body
 		resp.reuse = !response.Close
+		resp.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 		resp.idleTimeout = keepAliveTimeout(response.Header)
 		return nil
 	}
--- /dev/null
+++ b/relay/connection/flood_test.go
@@ -0,0 +1,121 @@
+package connection_test
+
+import (
+	"io"
+	"runtime"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+)
+
+// floodRequests is the number of requests that floods are sent to at once, maxFloodMemory the growth of the heap in bytes that they
+// may cause together: a third of the memory of a small VM.
+const (
+	floodRequests  = 50
+	maxFloodMemory = 36 << 20
+)
+
+// floods are the places of a response in which an upstream in trouble may send bytes without end: prefix is sent once and repeated
+// then until the relay closes the connection.
+var floods = map[string]struct{ prefix, repeated string }{
+	"in a header line":         {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Noise: ", strings.Repeat("x", 4096)},
+	"in header lines":          {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n", strings.Repeat("X-Noise: xxxxxxxxxxxxxxxxxxxxxx\r\n", 128)},
+	"in the status line":       {"HTTP/1.1 200 ", strings.Repeat("x", 4096)},
+	"in interim responses":     {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 128)},
+	"before any response":      {"", strings.Repeat("\x00\xff\x13", 1024)},
+	"in a chunk's size line":   {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 4096)},
+	"in a chunk's extension":   {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 4096)},
+	"in the trailers":          {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X-Noise: xxxxxxxxxxxxxxxxxxxxxx\r\n", 128)},
+	"in a response to another": {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4000000000\r\n\r\n", strings.Repeat("x", 4096)},
+}
+
+// pour sends the flood until the relay closes the connection.
+func pour(p *serverConn, prefix, repeated string) {
+	p.readRequest()
+	p.writeText(prefix)
+	for {
+		if _, err := io.WriteString(p.Conn, repeated); err != nil {
+			return
+		}
+	}
+}
+
+// heapGrowth runs the function and returns by how much the live heap exceeded its size before, sampled until the function returns.
+func heapGrowth(run func()) int64 {
+	live := func() int64 {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	runtime.GC()
+	before, most, done := live(), int64(0), make(chan struct{})
+	go func() {
+		defer close(done)
+		run()
+	}()
+	for {
+		select {
+		case <-done:
+			return most
+		case <-time.After(5 * time.Millisecond):
+			most = max(most, live()-before)
+		}
+	}
+}
+
+var _ = Describe("bytes without end from an upstream", func() {
+	var pool *connection.Pool
+
+	BeforeEach(func() {
+		pool = connection.NewPool()
+		DeferCleanup(pool.Close)
+	})
+
+	for place, flood := range floods {
+		It("end the attempt before its deadline and keep the memory bounded when they come "+place, func() {
+			s := startUpstream(func(p *serverConn) { pour(p, flood.prefix, flood.repeated) })
+			sound := startUpstream(echo)
+			results := make(chan error, floodRequests)
+			growth := heapGrowth(func() {
+				for range floodRequests {
+					go func() {
+						_, err := send(pool, s, newRequest("1", ""))
+						results <- err
+					}()
+				}
+				expectBody(pool, sound, "2")
+				for range floodRequests {
+					var err error
+					Eventually(results).WithTimeout(4 * time.Second).Should(Receive(&err))
+					Expect(err).To(HaveOccurred())
+				}
+			})
+			Expect(growth).To(BeNumerically("<", maxFloodMemory))
+			Expect(pool.Open(s.address())).To(BeZero())
+		})
+	}
+
+	It("are named in the error with the limit, so that the log line tells the cause", func() {
+		s := startUpstream(func(p *serverConn) { pour(p, "HTTP/1.1 200 OK\r\n", "X-Noise: xxxxxxxxxxxxxxxxx\r\n") })
+		_, err := send(pool, s, newRequest("1", ""))
+		Expect(err).To(MatchError(ContainSubstring("65536 bytes")))
+	})
+
+	It("don't count the body of a long answer", func() {
+		body := strings.Repeat("y", 1<<20)
+		s := startUpstream(func(p *serverConn) {
+			for p.readRequest() != nil {
+				p.respond("1", body)
+			}
+		})
+		for range 2 {
+			received, err := send(pool, s, newRequest("1", ""))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(received).To(Equal(body))
+		}
+	})
+})
--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -33,46 +33,89 @@
 	}
 }
 
-// forwardBuffered forwards an answer that is not a stream; the part beyond maxBufferedBytes is forwarded as it arrives. It returns
-// false if another attempt may be made.
+// forwardBuffered forwards an answer that is not a stream; the part beyond maxBufferedBytes, or beyond the memory that is left for
+// answers, is forwarded as it arrives. It returns false if another attempt may be made.
 func (s *session) forwardBuffered(ctx context.Context, p *Placement, answer *connection.Response, answerMetadata AnswerMetadata, timer *stallTimer) (bool, error) {
-	var body bytes.Buffer
-	if answer.Length > 0 && answer.Length <= maxBufferedBytes {
-		body.Grow(int(answer.Length) + bytes.MinRead)
-	}
-	_, err := body.ReadFrom(io.LimitReader(answer, maxBufferedBytes))
+	memory := reservation{pool: &s.f.buffers}
+	defer memory.release()
+	parts, complete, err := memory.readStart(answer, answer.Length, maxBufferedBytes)
 	if err != nil {
 		return s.attemptFailed(ctx, p, err, Failure{Received: true, Status: answer.Status, Metadata: answerMetadata}), err
 	}
 	timer.stop()
 	p.Begin()
-	s.runs++
-	if answer.Status >= http.StatusInternalServerError && s.mayRunAgain() {
+	if answer.Status >= http.StatusInternalServerError && s.mayRunAfterThis() {
+		s.runs++
 		s.logAttempt(p, "upstream failed the request", answer.Status, nil)
 		p.Fail(Failure{Sent: true, Received: true, Status: answer.Status, Metadata: answerMetadata})
 		return false, errors.New("the upstream failed the request with status " + strconv.Itoa(answer.Status))
 	}
-	p.Finish(answerMetadata)
 	s.copyHeader(answer)
-	if body.Len() < maxBufferedBytes {
-		s.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	switch {
+	case complete:
+		s.w.Header().Set("Content-Length", strconv.Itoa(totalLength(parts)))
+	case answer.Length >= 0:
+		s.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
-	s.beginAnswer(answer.Status)
-	s.setWriteDeadline()
-	if _, err := s.w.Write(body.Bytes()); err != nil {
-		return true, err
+	if complete {
+		s.runs++
+		p.Finish(answerMetadata)
 	}
-	if body.Len() == maxBufferedBytes {
-		if _, err := io.Copy(s.w, answer); err != nil {
+	s.beginAnswer(answer.Status)
+	for _, part := range parts {
+		s.setWriteDeadline()
+		if _, err := s.w.Write(part); err != nil {
+			if !complete {
+				p.Cancel()
+			}
 			s.abort(err)
 		}
 	}
+	if !complete {
+		parts = nil
+		memory.release()
+		s.forwardRest(ctx, p, answer, answerMetadata)
+	}
 	return true, nil
 }
 
-// mayRunAgain reports whether the request may run once more; if not, the upstream's error answer is forwarded.
-func (s *session) mayRunAgain() bool {
-	return s.route.Repeatable() && s.runs < max(1, s.route.Attempts) && s.sends < maxSends && s.f.budget.CanWithdraw(s.placementRequest.Service.Name)
+func totalLength(parts [][]byte) int {
+	total := 0
+	for _, part := range parts {
+		total += len(part)
+	}
+	return total
+}
+
+// forwardRest forwards the part of a long answer that is not buffered. If the upstream breaks off, the caller's connection is closed,
+// so that the answer does not look complete.
+func (s *session) forwardRest(ctx context.Context, p *Placement, answer *connection.Response, answerMetadata AnswerMetadata) {
+	part := make([]byte, bufferStep)
+	for {
+		n, err := answer.Read(part)
+		if n > 0 {
+			s.setWriteDeadline()
+			if _, err := s.w.Write(part[:n]); err != nil {
+				p.Cancel()
+				s.abort(err)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			s.runs++
+			p.Finish(answerMetadata)
+			return
+		}
+		if err != nil {
+			s.attemptFailed(ctx, p, err, Failure{Received: true, Status: answer.Status, Metadata: answerMetadata})
+			s.abort(err)
+		}
+	}
+}
+
+// mayRunAfterThis reports whether the request may run once more after the present run; if not, the upstream's error answer is
+// forwarded.
+func (s *session) mayRunAfterThis() bool {
+	return s.route.Repeatable() && s.runs+1 < max(1, s.route.Attempts) && s.sends < maxSends && s.f.budget.CanWithdraw(s.placementRequest.Service.Name)
 }
 
 // copyHeader copies the end-to-end fields of the upstream's header to the answer.
@@ -106,15 +149,25 @@
 func (s *session) forwardStream(ctx context.Context, p *Placement, answer *connection.Response, answerMetadata AnswerMetadata, timer *stallTimer) (bool, error) {
 	reader := bufio.NewReaderSize(answer, 4096)
 	controller := http.NewResponseController(s.w)
+	memory := reservation{pool: &s.f.buffers}
+	defer memory.release()
 	for {
-		event, id, err := readEvent(reader)
+		event, id, err := readEvent(reader, &memory)
+		if errors.Is(err, io.EOF) && answer.Unframed && len(event) > 0 {
+			// Nothing but the closing blank line of its last event shows that a stream without a frame is complete.
+			err = io.ErrUnexpectedEOF
+			event = nil
+		}
 		if len(event) > 0 {
-			timer.eventReceived()
+			if isProgress(event, id) {
+				timer.eventReceived()
+			}
 			if err := s.forwardEvent(p, answer, controller, event, id); err != nil {
 				p.Cancel()
 				s.abort(err)
 				return true, err
 			}
+			memory.release()
 		}
 		if errors.Is(err, io.EOF) {
 			break
@@ -160,6 +213,12 @@
 	return controller.Flush()
 }
 
+// isProgress reports whether an event carries a part of the answer. Comments and empty events only keep a connection open, also that
+// of an upstream that has stalled.
+func isProgress(event []byte, id string) bool {
+	return id != "" || bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // isNewer reports whether the event ID is greater than the last one forwarded. IDs that are not numbers count as newer.
 func isNewer(id, last string) bool {
 	if last == "" {
@@ -171,11 +230,14 @@
 }
 
 // readEvent returns the next event with its closing blank line, and its ID or an empty string. If the answer ends properly, the
-// bytes after the last blank line are returned with io.EOF.
-func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+// bytes after the last blank line are returned with io.EOF. The caller releases the event's memory.
+func readEvent(r *bufio.Reader, memory *reservation) (event []byte, id string, err error) {
 	start := 0
 	for len(event) < maxEventBytes {
 		part, err := r.ReadSlice('\n')
+		if !memory.grow(len(event) + len(part)) {
+			return nil, "", errBuffersFull
+		}
 		event = append(event, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			// The line is longer than the reader's buffer.
--- a/relay/forward/forward_test.go
+++ b/relay/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,6 +78,13 @@
 	u.ends = append(u.ends, result)
 }
 
+// recordedEnds returns how the placements ended so far.
+func (u *fakePlacer) recordedEnds() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.ends)
+}
+
 func (u *fakePlacer) place(_ context.Context, _ *forward.PlacementRequest) (*forward.Placement, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/relay/forward/forwarder.go
+++ b/relay/forward/forwarder.go
@@ -42,6 +42,8 @@
 	stopping atomic.Bool
 	active   atomic.Int64
 	recorder func(RequestRecord)
+	// buffers counts the memory of the answers in progress.
+	buffers bufferPool
 }
 
 // RequestRecord is the record of one finished request for the metrics.
--- a/relay/forward/fuzz_test.go
+++ b/relay/forward/fuzz_test.go
@@ -20,7 +20,7 @@
 		r := bufio.NewReaderSize(bytes.NewReader(data), 16)
 		var whole []byte
 		for {
-			event, id, err := readEvent(r)
+			event, id, err := readEvent(r, &reservation{pool: &bufferPool{}})
 			whole = append(whole, event...)
 			if want := lastID(event); id != want {
 				t.Fatalf("the ID of %q is read as %q, expected %q", event, id, want)
--- a/relay/upstream/client.go
+++ b/relay/upstream/client.go
@@ -75,6 +75,8 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     60 * time.Second,
 		DisableCompression:  true,
+		// The default of 10 MB is as much as many concurrent calls must not occupy.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c.transports[address] = t
 	return t
--- /dev/null
+++ b/relay/upstream/limit.go
@@ -0,0 +1,30 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+)
+
+// maxHeadBytes limits the headers of a response, so that an upstream in trouble can't occupy this VM's memory with a header that
+// never ends.
+const maxHeadBytes = 64 << 10
+
+// ErrResponseTooLarge means that a response exceeds the limits of its header and body.
+var ErrResponseTooLarge = errors.New("upstream sent more bytes than a response may have; check what answers at its address")
+
+// limitedReader reads at most left bytes and returns ErrResponseTooLarge afterwards. Unlike io.LimitReader it does not return io.EOF
+// there, which would make a response without a length look complete.
+type limitedReader struct {
+	from io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(into []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrResponseTooLarge
+	}
+	n, err := r.from.Read(into[:min(int64(len(into)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
--- a/relay/upstream/order.go
+++ b/relay/upstream/order.go
@@ -66,7 +66,7 @@
 		}
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	response, err := http.ReadResponse(bufio.NewReader(&limitedReader{conn, maxHeadBytes}), nil)
 	if err != nil {
 		return err
 	}
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -47,6 +47,9 @@
 	return &Connection{client: c, address: address, conn: conn, limit: c.headerTimeout}, nil
 }
 
+// framingFactor allows for the chunk headers of a body.
+const framingFactor = 2
+
 // Call sends the call and reads a response of at most limit bytes. After an error the call may have run.
 func (c *Connection) Call(ctx context.Context, call ServiceCall, limit int64) (ServiceResponse, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
@@ -64,7 +67,7 @@
 	if err := request.Write(c.conn); err != nil {
 		return ServiceResponse{}, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(c.conn), request)
+	response, err := http.ReadResponse(bufio.NewReader(&limitedReader{c.conn, maxHeadBytes + framingFactor*limit}), request)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
