Keep the loads of peers at the engines that they concern

Cause: each tick (20 a second), load report and digest summed over all peers for each engine, in maps keyed by name. A VM of the large deployment has 32 peers in its cell and 162 engines, and received about 44 digests a second: most of what it used without requests. Lanes were ranked anew, with two sorts, at each tick. Change: routing/peer_load.go keeps a peer's loads at its engines; a digest changes the engines that it names or named before, an estimate adds up the peers that use the engine. The rank of the lanes changes with the engines only.

--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -43,6 +43,8 @@
 	announced map[string][]announcement
 	partIndex *partIndex
 	lanes     map[string]*shortLane
+	// laneRanks are the engines of the cell in the order in which they are set aside, by model; nil after a change of the engines.
+	laneRanks map[string][]*upstream
 	stores    map[string]*store
 	// cellSpan is the greatest distance of engines whose load this VM knows from its peers; of farther ones it knows little.
 	cellSpan Span
@@ -122,7 +124,11 @@
 	c.dispatchQueue(now, effects)
 }
 
-func (m CellSpan) apply(c *Core, _ time.Duration, _ *Effects) { c.cellSpan = m.Span }
+func (m CellSpan) apply(c *Core, _ time.Duration, _ *Effects) {
+	if c.cellSpan != m.Span {
+		c.cellSpan, c.laneRanks = m.Span, nil
+	}
+}
 
 func (m Leaving) apply(c *Core, now time.Duration, effects *Effects) {
 	u, ok := c.byName[m.Upstream]
--- a/relay/routing/digest.go
+++ b/relay/routing/digest.go
@@ -37,15 +37,6 @@
 	Rate float64
 }
 
-type peerState struct {
-	received    time.Duration
-	outstanding map[string]int
-	prompts     map[string]int
-	memory      map[string]int
-	shared      map[string][]PartUse
-	shortWork   map[string]int
-}
-
 // Digest returns this VM's digest and clears the hints of newly computed prefixes.
 func (c *Core) Digest(now time.Duration) Digest {
 	d := Digest{VM: c.vm, Outstanding: map[string]int{}, Accounts: c.limits.Publish(), PrefillTokens: map[string]int{}, MemoryTokens: map[string]int{}, Shared: map[string][]PartUse{}}
@@ -113,42 +104,14 @@
 	if m.VM == c.vm {
 		return
 	}
-	c.peers[m.VM] = &peerState{received: now, outstanding: m.Outstanding, prompts: m.PrefillTokens, memory: m.MemoryTokens, shared: m.Shared, shortWork: m.ShortWork}
+	c.setPeer(now, m)
 	c.limits.ReceiveDigest(now, m.VM, m.Accounts)
 	c.demand.receive(now, m.VM, m.Hot)
 	c.forgetPeers(now)
 	c.cache.AddHints(now, m.Hints)
-	for _, u := range c.upstreams {
-		c.estimateOthers(now, u)
-	}
 	c.dispatchQueue(now, effects)
 }
 
-// forgetPeerFactor is the silence of a peer, in multiples of Times.StaleAfter, after which its state is removed, so that past peers
-// don't add up.
-const forgetPeerFactor = 20
-
-func (c *Core) forgetPeers(now time.Duration) {
-	for vm, peer := range c.peers {
-		if now-peer.received > forgetPeerFactor*c.times.StaleAfter {
-			delete(c.peers, vm)
-			delete(c.demand.peers, vm)
-			c.limits.RemovePeer(vm)
-		}
-	}
-}
-
-// livePeerCount returns the number of peers whose last digest is not stale.
-func (c *Core) livePeerCount(now time.Duration) int {
-	n := 0
-	for _, peer := range c.peers {
-		if now-peer.received <= c.times.StaleAfter {
-			n++
-		}
-	}
-	return n
-}
-
 // ownMeanDecay is the time constant of the mean of own requests in progress that a lagging load report is compared with.
 const ownMeanDecay = 500 * time.Millisecond
 
@@ -159,27 +122,6 @@
 	u.reported.ownMean += (float64(u.outstanding) - u.reported.ownMean) * (1 - math.Exp(-float64(elapsed)/float64(ownMeanDecay)))
 }
 
-// estimateOthers estimates the other VMs' requests at an upstream: the larger of the digests' sum and the load report less own
-// requests.
-func (c *Core) estimateOthers(now time.Duration, u *upstream) {
-	count := 0
-	u.othersPrompt, u.othersMemory, u.othersAt = 0, 0, now
-	clear(u.othersShared)
-	for _, peer := range c.peers {
-		if now-peer.received <= c.times.StaleAfter {
-			count += peer.outstanding[u.info.Name]
-			u.addPeerUses(peer.memory[u.info.Name], peer.shared[u.info.Name])
-			// Part of the reported prompt tokens has been prefilled since the digest.
-			prefilled := (now - peer.received).Seconds() / max(u.group.model.perToken.value, 1e-7)
-			u.othersPrompt += max(0, peer.prompts[u.info.Name]-int(prefilled))
-		}
-	}
-	if u.reported.received && now-u.reported.at <= c.times.StaleAfter {
-		count = max(count, u.reported.outstanding-int(math.Ceil(u.reported.ownMean)))
-	}
-	u.othersOutstanding = count
-}
-
 // sortedNames returns the names in order, so that sums of floating-point numbers don't depend on map order.
 func sortedNames[T any](peers map[string]T) []string {
 	names := make([]string, 0, len(peers))
--- a/relay/routing/lanes.go
+++ b/relay/routing/lanes.go
@@ -79,32 +79,42 @@
 
 // assignLanes decides which engines are set aside for short prompts.
 func (c *Core) assignLanes(now time.Duration) {
-	models := map[string][]*upstream{}
-	for _, u := range c.upstreams {
-		u.inShortLane, u.hasLane = false, false
-		if u.distance > int(c.cellSpan) {
-			continue
-		}
-		models[u.info.Model] = append(models[u.info.Model], u)
+	if c.laneRanks == nil {
+		c.rankLanes()
 	}
-	for model, list := range models {
+	for model, ranked := range c.laneRanks {
 		l := c.lanes[model]
-		if l == nil || len(list) < minLaneEngines {
+		if l == nil || len(ranked) < minLaneEngines {
 			continue
 		}
-		rate := l.rate(now)
-		for _, vm := range sortedNames(c.peers) {
-			if peer := c.peers[vm]; now-peer.received <= c.times.StaleAfter {
-				rate += float64(peer.shortWork[model]) / shortRateUnit
+		units := 0
+		for _, peer := range c.peers {
+			if now-peer.received <= c.times.StaleAfter {
+				units += peer.shortWork[model]
 			}
 		}
-		count := l.engines(now, min(len(list)/2, max(1, int(math.Ceil(rate/shortShare)))))
-		for i, u := range rankByRegion(list) {
+		rate := l.rate(now) + float64(units)/shortRateUnit
+		count := l.engines(now, min(len(ranked)/2, max(1, int(math.Ceil(rate/shortShare)))))
+		for i, u := range ranked {
 			u.inShortLane, u.hasLane = i < count, true
 		}
 	}
 }
 
+// rankLanes ranks the engines of each model within the cell; it is called after a change of the engines or of the cell.
+func (c *Core) rankLanes() {
+	c.laneRanks = map[string][]*upstream{}
+	for _, u := range c.upstreams {
+		u.inShortLane, u.hasLane = false, false
+		if u.distance <= int(c.cellSpan) {
+			c.laneRanks[u.info.Model] = append(c.laneRanks[u.info.Model], u)
+		}
+	}
+	for model, list := range c.laneRanks {
+		c.laneRanks[model] = rankByRegion(list)
+	}
+}
+
 // shortRateUnit is the number of units per second of work in which digests carry the lanes' rates.
 const shortRateUnit = 1000
 
--- a/relay/routing/placed.go
+++ b/relay/routing/placed.go
@@ -49,9 +49,10 @@
 	}
 	// The peer's prompt tokens count from its last digest, and estimateOthers deducts what the engine has prefilled since.
 	prefilled := (now - peer.received).Seconds() / max(u.group.model.perToken.value, 1e-7)
-	peer.prompts[m.Upstream] = max(peer.prompts[m.Upstream], int(prefilled)) + m.UncachedTokens
-	peer.outstanding[m.Upstream]++
-	peer.memory[m.Upstream] += m.MemoryTokens
+	load := c.peerLoadAt(peer, m.Upstream)
+	load.prompts = max(load.prompts, int(prefilled)) + m.UncachedTokens
+	load.outstanding++
+	load.memory += m.MemoryTokens
 	c.estimateOthers(now, u)
 }
 
--- a/relay/routing/upstream.go
+++ b/relay/routing/upstream.go
@@ -31,6 +31,8 @@
 	othersShared map[uint64]struct{}
 	othersPrompt int
 	othersAt     time.Duration
+	// peerLoads are the loads that peers reported for this engine.
+	peerLoads []*peerLoad
 	// epoch is the epoch of the last PartUpdate.
 	epoch uint64
 	// hasEvicted reports that the engine has evicted a part since its cache was last empty.
@@ -192,7 +194,7 @@
 		c.removeUpstream(u)
 	}
 	clear(c.upstreams[len(remaining):])
-	c.upstreams = remaining
+	c.upstreams, c.laneRanks = remaining, nil
 	c.dispatchQueue(now, effects)
 }
 
@@ -203,6 +205,7 @@
 		c.byName[info.Name] = u
 		c.upstreams = append(c.upstreams, u)
 		c.addToGroup(u)
+		c.attachPeerLoads(u)
 	} else if u.version() != (Version{info.Model, info.Adapter, info.Weights}) {
 		// An engine that loads another version drops its cache. Its part index entries stay: the salt in their keys names the
 		// version, and peers may have reported the new ones before the list with the new version arrived.
