Refuse queued requests once their objective has passed, and serve those first that can be in time

An engine that returned from a crash got 105,000 tokens and 43 short prompts within half a second, as each of seven VMs filled a window of its own. While engines load weights, the lane of short prompts counted them. Lanes skip engines that take no requests.

--- a/relay/routing/export_test.go
+++ b/relay/routing/export_test.go
@@ -13,3 +13,14 @@
 	}
 	return s
 }
+
+// ServingLane lists the engines set aside for short prompts that take new requests.
+func (c *Core) ServingLane() []string {
+	var names []string
+	for _, u := range c.upstreams {
+		if u.inShortLane && !u.draining {
+			names = append(names, u.info.Name)
+		}
+	}
+	return names
+}
--- a/relay/routing/flight.go
+++ b/relay/routing/flight.go
@@ -14,8 +14,10 @@
 	class       int
 	serviceTime float64
 	queued      bool
-	attempts    []*attempt
-	waitsFor    *upstream
+	// late is set once a queued request can't be answered within its objective any more.
+	late     bool
+	attempts []*attempt
+	waitsFor *upstream
 	// waitingTokens is the prefill in tokens for which waitsFor counts this request.
 	waitingTokens int
 	// priority is passed to the engine, 0 being the highest; waitingPriority is the one that waiting is counted under.
--- a/relay/routing/lanes.go
+++ b/relay/routing/lanes.go
@@ -95,8 +95,12 @@
 		}
 		rate := l.rate(now) + float64(units)/shortRateUnit
 		count := l.engines(now, min(len(ranked)/2, max(1, int(math.Ceil(rate/shortShare)))))
-		for i, u := range ranked {
-			u.inShortLane, u.hasLane = i < count, true
+		for _, u := range ranked {
+			// An engine that takes no requests, such as one that loads weights, is replaced in the lane meanwhile.
+			u.inShortLane, u.hasLane = count > 0 && !u.draining, true
+			if u.inShortLane {
+				count--
+			}
 		}
 	}
 }
--- a/relay/routing/model.go
+++ b/relay/routing/model.go
@@ -193,7 +193,7 @@
 	}
 	prefill := (float64(p.tokens-cached) - p.cachedByPeers(u, cached)) * perToken
 	*e = cost{
-		cached: cached, ready: c.ready(u, p, perToken), wait: wait + g.model.baseTTFT.value + fullBatchPenalty*float64(busy)/float64(u.slots),
+		cached: cached, ready: c.ready(now, u, p, perToken), wait: wait + g.model.baseTTFT.value + fullBatchPenalty*float64(busy)/float64(u.slots),
 		prefill: prefill, link: u.link.roundTrip, price: u.link.price * float64(p.tokens),
 	}
 	if c.transferPerToken > 0 && p.exportable > cached {
@@ -223,8 +223,8 @@
 }
 
 // ready reports whether the upstream would start the request soon.
-func (c *Core) ready(u *upstream, p *plan, perToken float64) bool {
-	backlog := workAhead(&u.backlog, p.priority)
+func (c *Core) ready(now time.Duration, u *upstream, p *plan, perToken float64) bool {
+	backlog := workAhead(&u.backlog, p.priority) + c.othersWindow(now, u)
 	if u.outstanding+u.othersOutstanding >= u.slots || backlog > 0 && float64(backlog)*perToken > c.times.PrefillWindow.Seconds() {
 		return false
 	}
--- a/relay/routing/queue.go
+++ b/relay/routing/queue.go
@@ -113,21 +113,35 @@
 	}
 	c.queue.order = order
 	sort.SliceStable(order, func(i, j int) bool { return order[i].score < order[j].score })
+	for _, late := range [...]bool{false, true} {
+		if !c.dispatchInOrder(now, order, late, effects) {
+			break
+		}
+	}
+	if len(c.queue.list) == 0 {
+		c.fairQueue.Reset()
+	}
+	clear(c.queue.order)
+}
+
+// dispatchInOrder tries to dispatch the requests that are or aren't late, and reports whether any upstream is ready still.
+func (c *Core) dispatchInOrder(now time.Duration, order []scoredFlight, late bool, effects *Effects) bool {
 	for i, tries := 0, 0; i < len(order) && tries < maxUnplaced; i++ {
-		d, done := c.dispatchOne(now, order[i].flight)
+		f := order[i].flight
+		if !f.queued || f.late != late {
+			continue
+		}
+		d, done := c.dispatchOne(now, f)
 		if !done {
 			tries++
 			continue
 		}
 		effects.Released = append(effects.Released, d)
 		if d.Decision.Refusal == nil && !c.anyReady(now) {
-			break
+			return false
 		}
 	}
-	if len(c.queue.list) == 0 {
-		c.fairQueue.Reset()
-	}
-	clear(c.queue.order)
+	return true
 }
 
 // dispatchOne decides a queued request again and returns false if the request stays queued.
@@ -145,6 +159,9 @@
 		c.endRequest(f)
 		return Release{f.request.ID, deadlineTooNear()}, true
 	}
+	if c.becomesLate(now, f, &ch) || f.waitsForSlack(&ch) {
+		return Release{}, false
+	}
 	if ch.ready != nil && ch.readyCost.total <= ch.bestCost.total+minQueueGain {
 		c.fairQueue.Advance(c.fairQueue.Start(f.request.Account))
 		c.dequeue(f)
@@ -160,7 +177,7 @@
 func (c *Core) anyReady(now time.Duration) bool {
 	var short plan
 	for _, u := range c.upstreams {
-		if !u.draining && now >= u.ejectedUntil && c.ready(u, &short, u.group.model.perToken.value*u.relativeSlowdown(now)) {
+		if !u.draining && now >= u.ejectedUntil && c.ready(now, u, &short, u.group.model.perToken.value*u.relativeSlowdown(now)) {
 			return true
 		}
 	}
@@ -186,7 +203,7 @@
 	switch {
 	case f.request.Deadline > 0 && now >= f.request.Deadline:
 		return deadlineTooNear(), true
-	case now-f.arrived > c.times.QueueTimeout:
+	case now-f.arrived > c.queueTimeout(f):
 		return refused(outcome.Overloaded, "retry with backoff: no upstream was free in time"), true
 	}
 	g := c.groupFor(now, &f.request, c.allowedRegions(&f.request))
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -311,7 +311,7 @@
 	}
 	age := (now - p.flight.arrived).Seconds()
 	*e = cost{
-		cached: cached, ready: c.ready(u, p, perToken), wait: wait + g.model.baseTTFT.value + fullBatchPenalty*float64(busy)/float64(u.slots),
+		cached: cached, ready: c.ready(now, u, p, perToken), wait: wait + g.model.baseTTFT.value + fullBatchPenalty*float64(busy)/float64(u.slots),
 		prefill: float64(p.tokens-cached) * perToken, link: u.link.roundTrip,
 	}
 	reused := cached
--- a/relay/routing/tick_bench_test.go
+++ b/relay/routing/tick_bench_test.go
@@ -14,7 +14,7 @@
 
 // newLargeCore returns a core of the policy Reuse with n upstreams and the digests of the given number of peers.
 func newLargeCore(n, peers int) *routing.Core {
-	core := newCore(newUpstreams(n, func(_ int, u *catalogue.Upstream) { u.Slots, u.Cache = 12, 1 << 16 }), routing.WithPolicy(routing.Reuse))
+	core := newCore(newUpstreams(n, func(_ int, u *catalogue.Upstream) { u.Slots, u.Cache = 12, 1<<16 }), routing.WithPolicy(routing.Reuse))
 	for peer := range peers {
 		core.Step(0, peerDigest(n, peer))
 	}
