Space the heartbeats and cache events of a large cell like its digests

Cause: a VM of the large deployment keeps sessions to 32 peers of its cell and 6 control VMs and pinged each every 0.7 s, as these did: about 217 frames a second of the 361 wake-ups of a VM without requests. Each batch of an engine's cache events goes to the whole cell as well. Change: the mesh sends the heartbeats itself and asks for their spacing before each one; within a cell it is the factor of the digests (1 up to 8 peers, 5 with 32), to control VMs 1. The pause between two readings of an engine's cache events grows by the same factor, up to 3. Measured: the tests of the mesh with the race detector; the two new ones fail with yamux's own heartbeats.

--- a/relay/peer/mesh.go
+++ b/relay/peer/mesh.go
@@ -44,7 +44,9 @@
 	address        netip.AddrPort
 	heartbeat      time.Duration
 	sessionTimeout time.Duration
-	receive        func(Message)
+	// heartbeatSpacing returns the number of intervals between two heartbeats to a peer.
+	heartbeatSpacing func(name string) int
+	receive          func(Message)
 	log            log.Interface
 	counters       Counters
 
@@ -73,6 +75,12 @@
 	return func(m *Mesh) { m.heartbeat, m.sessionTimeout = interval, sessionTimeout }
 }
 
+// WithHeartbeatSpacing sets the function that returns the number of intervals between two heartbeats to a peer, which is asked before
+// each one; the default is 1 for all. A silent session to a peer is noticed later by as many intervals.
+func WithHeartbeatSpacing(spacing func(name string) int) Option {
+	return func(m *Mesh) { m.heartbeatSpacing = spacing }
+}
+
 // WithReceive sets the callback for received messages. It is called from one goroutine per session and must not block for long.
 func WithReceive(receive func(Message)) Option { return func(m *Mesh) { m.receive = receive } }
 
@@ -83,6 +91,7 @@
 func New(options ...Option) *Mesh {
 	m := &Mesh{
 		heartbeat: time.Second, sessionTimeout: 3 * time.Second, receive: func(Message) {}, log: log.Log, links: map[string]*link{},
+		heartbeatSpacing: func(string) int { return 1 },
 	}
 	for _, option := range options {
 		option(m)
--- a/relay/peer/mesh_test.go
+++ b/relay/peer/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -141,6 +142,32 @@
 		expectDeliveryBothWays(a, b, "after")
 	})
 
+	It("send no heartbeat within the spacing of the peer, so that a large cell costs no more than a small one", func() {
+		spaced := peer.WithHeartbeatSpacing(func(string) int { return 1000 })
+		b := newTestVM("b", spaced)
+		f := newForwarder(b.address)
+		a := newTestVM("a", spaced)
+		a.Connect("b", f.address())
+		expectConnected(a, b)
+		f.stall()
+		Consistently(func() int { return len(a.Connected()) }).WithTimeout(4 * sessionTimeout).Should(Equal(1))
+	})
+
+	It("ask for the spacing before each heartbeat, since a cell grows while sessions are open", func() {
+		var spacing atomic.Int64
+		spacing.Store(1)
+		spaced := peer.WithHeartbeatSpacing(func(string) int { return int(spacing.Load()) })
+		b := newTestVM("b", spaced)
+		f := newForwarder(b.address)
+		a := newTestVM("a", spaced)
+		a.Connect("b", f.address())
+		expectConnected(a, b)
+		spacing.Store(1000)
+		time.Sleep(2 * heartbeatInterval)
+		f.stall()
+		Consistently(func() int { return len(a.Connected()) }).WithTimeout(4 * sessionTimeout).Should(Equal(1))
+	})
+
 	It("replace stalled connections that both dialled, without each waiting for the other to dial", func() {
 		a, b := newTestVM("a"), newTestVM("b")
 		f, g := newForwarder(b.address), newForwarder(a.address)
--- a/relay/peer/session.go
+++ b/relay/peer/session.go
@@ -11,12 +11,12 @@
 	"github.com/samber/oops"
 )
 
-// yamuxConfig makes yamux send a heartbeat every interval and close a session whose heartbeat is not answered in time. yamux waits for
-// the answer for ConnectionWriteTimeout; a connection that stalls just after a heartbeat is thus closed after sessionTimeout.
+// yamuxConfig makes yamux wait for the answer to a heartbeat for ConnectionWriteTimeout; a connection that stalls just after a
+// heartbeat is thus closed after sessionTimeout if its heartbeats are not spaced out.
 func (m *Mesh) yamuxConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = true
-	config.KeepAliveInterval = m.heartbeat
+	// The mesh sends the heartbeats itself, since yamux can't change their interval while a session is open.
+	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = m.sessionTimeout - m.heartbeat
 	config.StreamOpenTimeout = m.sessionTimeout
 	config.LogOutput = io.Discard
@@ -71,11 +71,35 @@
 	if l.add(&session{mux: mux, out: out}) {
 		m.counters.Replaced.Add(1)
 	}
+	m.group.Go(func() { m.sendHeartbeats(mux, hello.GetName(), ended) })
 	m.log.WithField("peer", hello.GetName()).WithField("boot", hello.GetBoot()).Info("peer connected")
 	m.readLoop(in, hello)
 	m.log.WithField("peer", hello.GetName()).Info("peer disconnected")
 }
 
+// sendHeartbeats sends heartbeats until the session ends, and closes a session whose heartbeat is not answered in time.
+func (m *Mesh) sendHeartbeats(mux *yamux.Session, name string, ended <-chan struct{}) {
+	timer := time.NewTimer(m.heartbeatInterval(name))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-timer.C:
+		}
+		if _, err := mux.Ping(); err != nil {
+			_ = mux.Close()
+			return
+		}
+		timer.Reset(m.heartbeatInterval(name))
+	}
+}
+
+// heartbeatInterval returns the time between two heartbeats to a peer.
+func (m *Mesh) heartbeatInterval(name string) time.Duration {
+	return m.heartbeat * time.Duration(max(1, m.heartbeatSpacing(name)))
+}
+
 func (m *Mesh) handshake(mux *yamux.Session) (net.Conn, *Hello, *bufio.Reader, error) {
 	timer := time.AfterFunc(m.sessionTimeout, func() { _ = mux.Close() })
 	defer timer.Stop()
--- a/relay/vm/cache_events.go
+++ b/relay/vm/cache_events.go
@@ -26,7 +26,7 @@
 	longPollWait = 900 * time.Millisecond
 	// longPollTimeout limits such a request, with the round trip and the response.
 	longPollTimeout = longPollWait + time.Second
-	// longPollPause is the pause between two successful requests to one engine, so that events arrive in batches.
+	// longPollPause is the least pause between two successful requests to one engine, so that events arrive in batches.
 	longPollPause = 120 * time.Millisecond
 	// longPollRetryPause is the pause after a failed request.
 	longPollRetryPause = time.Second
@@ -230,10 +230,23 @@
 		if len(events.Events) > 0 || reset {
 			w.publishEvents(u.ID, events, reset)
 		}
-		sleep(ctx, longPollPause)
+		sleep(ctx, w.pollPause())
 	}
 }
 
+// maxPollPauseFactor bounds the pause between two requests for cache events, so that they stay newer than what they report of.
+const maxPollPauseFactor = 3
+
+// pollPause returns the pause between two successful requests to one engine; it grows with the cell, as each batch of events is sent
+// to all of it.
+func (w *cacheWatcher) pollPause() time.Duration {
+	peers := w.mesh.broadcastPeers.Load()
+	if peers == nil {
+		return longPollPause
+	}
+	return longPollPause * time.Duration(min(maxPollPauseFactor, intervalFactor(len(*peers))))
+}
+
 // publishStoreState notifies this VM and its cell that a KV cache store is down or up again.
 func (w *cacheWatcher) publishStoreState(u *directory.Upstream, down bool) {
 	if !strings.HasPrefix(u.ID, "store/") {
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -134,12 +134,22 @@
 	m := &peerMesh{dispatch: d, onCacheRequest: func(string) {}, name: s.Name, centre: s.Centre, regions: s.Discovered.Centres, servesCallers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
 	m.mesh = peer.New(
 		peer.WithName(s.Name, s.Centre, node.Incarnation().Boot), peer.WithAddress(s.Listeners.Peers), peer.WithReceive(m.receive),
-		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithLog(logger),
+		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithHeartbeatSpacing(m.heartbeatSpacing), peer.WithLog(logger),
 	)
 	d.OnPlacement(m.broadcast)
 	return m
 }
 
+// heartbeatSpacing spaces the heartbeats within a cell like its digests, so that their rate at a VM does not grow with the cell. Losing
+// a digest or two does little harm; control VMs must notice a silent session at once.
+func (m *peerMesh) heartbeatSpacing(name string) int {
+	names := m.broadcastPeers.Load()
+	if names == nil || !slices.Contains(*names, name) {
+		return 1
+	}
+	return intervalFactor(len(*names))
+}
+
 // broadcast sends a message to the other VMs of the cell.
 func (m *peerMesh) broadcast(envelope *peer.Envelope) {
 	if names := m.broadcastPeers.Load(); names != nil {
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -161,15 +161,18 @@
 	return response.Status, body, nil
 }
 
+// intervalFactor returns the factor by which a cell with the given number of peers spaces its periodic messages, which bounds their
+// rate at each VM.
+func intervalFactor(peers int) int { return 1 + peers/peersPerDigestInterval }
+
 // digest sends the cell the requests in progress of this VM and its hot prefixes.
 func (w *watcher) digest() {
 	peers := cellPeers(w.state.vms.Load(), w.settings.Name, w.settings.Centre, w.settings.Discovered.Centres)
 	if len(peers) == 0 {
 		return
 	}
-	// The interval grows with the number of peers, which bounds the rate of messages that a VM sends and receives.
 	w.digestTicks++
-	if w.digestTicks%(1+len(peers)/peersPerDigestInterval) != 0 {
+	if w.digestTicks%intervalFactor(len(peers)) != 0 {
 		return
 	}
 	digest := w.dispatch.Digest()
