--- a/relay/peer/mesh.go
+++ b/relay/peer/mesh.go
@@ -47,8 +47,8 @@
 	// heartbeatSpacing returns the number of intervals between two heartbeats to a peer.
 	heartbeatSpacing func(name string) int
 	receive          func(Message)
-	log            log.Interface
-	counters       Counters
+	log              log.Interface
+	counters         Counters
 
 	ctx    context.Context
 	cancel context.CancelFunc
