--- a/relay/peer/link.go
+++ b/relay/peer/link.go
@@ -19,8 +19,9 @@
 
 // link is the outgoing queue and the open sessions of one peer.
 type link struct {
-	name     string
-	queue    chan *Envelope
+	name string
+	// queue has encoded messages, which several links may share.
+	queue    chan []byte
 	dialling bool
 	// cancelDial stops the dial loop; it is valid while dialling is true.
 	cancelDial func()
@@ -78,25 +79,34 @@
 }
 
 // enqueue reports false if no session is open or the queue is full.
-func (l *link) enqueue(envelope *Envelope) bool {
+func (l *link) enqueue(frame []byte) bool {
 	if l.current() == nil {
 		return false
 	}
 	select {
-	case l.queue <- envelope:
+	case l.queue <- frame:
 		return true
 	default:
 		return false
 	}
 }
 
-func writeMessage(w io.Writer, message proto.Message) (int, error) {
+// encodeMessage returns the message behind its length.
+func encodeMessage(message proto.Message) ([]byte, error) {
 	frame := make([]byte, 4, 4+proto.Size(message))
 	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, message)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
+	return frame, nil
+}
+
+func writeMessage(w io.Writer, message proto.Message) (int, error) {
+	frame, err := encodeMessage(message)
+	if err != nil {
+		return 0, err
+	}
 	return w.Write(frame)
 }
 
--- a/relay/peer/mesh.go
+++ b/relay/peer/mesh.go
@@ -152,15 +152,25 @@
 }
 
 // Send queues a message; it drops and counts the message if no session is open or the queue is full.
-func (m *Mesh) Send(to string, envelope *Envelope) {
-	m.mu.Lock()
-	l, ok := m.links[to]
-	m.mu.Unlock()
-	if !ok || !l.enqueue(envelope) {
-		m.counters.Dropped.Add(1)
-		return
+func (m *Mesh) Send(to string, envelope *Envelope) { m.Broadcast([]string{to}, envelope) }
+
+// Broadcast queues a message to several VMs like Send; it is encoded once.
+func (m *Mesh) Broadcast(to []string, envelope *Envelope) {
+	var frame []byte
+	for _, name := range to {
+		m.mu.Lock()
+		l, ok := m.links[name]
+		m.mu.Unlock()
+		if ok && frame == nil {
+			// Only invalid UTF-8 in a string field makes an envelope that can't be encoded; it counts as dropped.
+			frame, _ = encodeMessage(envelope)
+		}
+		if !ok || frame == nil || !l.enqueue(frame) {
+			m.counters.Dropped.Add(1)
+			continue
+		}
+		m.counters.Sent.Add(1)
 	}
-	m.counters.Sent.Add(1)
 }
 
 // Connected returns the names of the VMs with an open session, in no particular order.
@@ -191,7 +201,7 @@
 func (m *Mesh) link(name string) *link {
 	l, ok := m.links[name]
 	if !ok {
-		l = &link{name: name, queue: make(chan *Envelope, maxQueuedMessages)}
+		l = &link{name: name, queue: make(chan []byte, maxQueuedMessages)}
 		m.links[name] = l
 		m.group.Go(func() { m.writeLoop(l) })
 	}
--- a/relay/peer/mesh_test.go
+++ b/relay/peer/mesh_test.go
@@ -95,6 +95,22 @@
 		Expect(f.connections()).To(Equal(1))
 	})
 
+	It("deliver a broadcast to each VM with a session and count it as dropped for the others", func() {
+		a, b, c := newTestVM("a"), newTestVM("b"), newTestVM("c")
+		a.Connect("b", b.address)
+		a.Connect("c", c.address)
+		expectConnected(a, b)
+		expectConnected(a, c)
+		a.Broadcast([]string{"b", "unknown", "c"}, quorumMessage("to all"))
+		for _, vm := range []*testVM{b, c} {
+			var m peer.Message
+			Eventually(vm.received).WithTimeout(testTimeout).Should(Receive(&m))
+			Expect(string(m.Body.GetQuorum())).To(Equal("to all"))
+		}
+		Expect(a.Counters().Dropped.Load()).To(Equal(int64(1)))
+		Expect(a.Counters().Sent.Load()).To(Equal(int64(2)))
+	})
+
 	It("deliver each message once and in order, with the sender's name and boot number, without mixing up frames", func() {
 		a, b := newTestVM("a"), newTestVM("b")
 		a.Connect("b", b.address)
--- a/relay/peer/session.go
+++ b/relay/peer/session.go
@@ -144,14 +144,14 @@
 		select {
 		case <-m.ctx.Done():
 			return
-		case envelope := <-l.queue:
+		case frame := <-l.queue:
 			s := l.current()
 			if s == nil {
 				m.counters.Dropped.Add(1)
 				continue
 			}
 			_ = s.out.SetWriteDeadline(time.Now().Add(m.sessionTimeout))
-			n, err := writeMessage(s.out, envelope)
+			n, err := s.out.Write(frame)
 			m.counters.Bytes.Add(int64(n))
 			if err != nil {
 				s.close()
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -153,9 +153,7 @@
 // broadcast sends a message to the other VMs of the cell.
 func (m *peerMesh) broadcast(envelope *peer.Envelope) {
 	if names := m.broadcastPeers.Load(); names != nil {
-		for _, name := range *names {
-			m.mesh.Send(name, envelope)
-		}
+		m.mesh.Broadcast(*names, envelope)
 	}
 }
 
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -175,8 +175,5 @@
 	if w.digestTicks%intervalFactor(len(peers)) != 0 {
 		return
 	}
-	digest := w.dispatch.Digest()
-	for _, name := range peers {
-		w.mesh.mesh.Send(name, digest)
-	}
+	w.mesh.mesh.Broadcast(peers, w.dispatch.Digest())
 }
