Publish boards at an interval that grows with the engines

Change: boardPacer (pure) spaces boards by 1 ms per engine, 300 ms at most; the first change is told at once and the last one is not lost. With 12 engines nothing changes.

--- a/relay/vm/orders.go
+++ b/relay/vm/orders.go
@@ -49,8 +49,8 @@
 
 	// The fields below are used by the loop's goroutine only.
 	core *rollout.Core
-	// dirty is set if changes are to be published to lease holders with the next tick.
-	dirty bool
+	// boards decides when changes are published to lease holders.
+	boards boardPacer
 	// fencingNumber is that of the order lease at the last tick; 0 means not held.
 	fencingNumber uint64
 	addresses     map[string]netip.AddrPort
@@ -151,11 +151,10 @@
 	if inProgress {
 		o.step(ctx, rollout.Tick{})
 	}
-	if o.dirty {
-		o.dirty = false
+	if o.boards.due(o.host.Now(), len(list.Upstreams)) {
 		o.publish()
 	}
-	return inProgress
+	return inProgress || o.boards.changed
 }
 
 // engines returns the engines with their target weights versions, for models that have one.
@@ -179,7 +178,7 @@
 // step passes a message to the core and carries out the effects.
 func (o *orderSender) step(ctx context.Context, m rollout.Message) {
 	effects := o.core.Step(o.host.Now(), m)
-	o.dirty = o.dirty || effects.Changed
+	o.boards.change(effects.Changed)
 	for _, order := range effects.Orders {
 		address := o.addresses[order.ID]
 		o.group.Go(func() { o.send(ctx, address, order) })
