Test the limits of responses to the daemon's calls, and name the limit in their errors

Cause: relay/upstream had limits without a test, and the parser's error about a line cut by the limit hid the limit. Change: readLimitedResponse returns ErrResponseTooLarge where the limit was reached. The program on the users' machines makes none of these calls.

--- a/relay/upstream/limit.go
+++ b/relay/upstream/limit.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net/http"
 )
 
 // maxHeadBytes limits the headers of a response, so that an upstream in trouble can't occupy this VM's memory with a header that
@@ -28,3 +30,14 @@
 	r.left -= int64(n)
 	return n, err
 }
+
+// readLimitedResponse reads a response's header from a connection; header and body together may have limit bytes.
+func readLimitedResponse(from io.Reader, limit int64, request *http.Request) (*http.Response, error) {
+	limited := &limitedReader{from, limit}
+	response, err := http.ReadResponse(bufio.NewReader(limited), request)
+	if err != nil && limited.left <= 0 {
+		// The parser reports a malformed line instead if the limit cuts one.
+		return nil, ErrResponseTooLarge
+	}
+	return response, err
+}
--- /dev/null
+++ b/relay/upstream/limit_test.go
@@ -0,0 +1,73 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
+)
+
+// pouring answers each request with the start of a response and then repeats the text until the connection is closed.
+func pouring(start, repeated string) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, start)
+				for text := []byte(repeated); err == nil; {
+					_, err = conn.Write(text)
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+var _ = Describe("a response that never ends", func() {
+	const header = "HTTP/1.1 200 OK\r\n"
+	noise := strings.Repeat("X-Noise: xxxxxxxx\r\n", 256)
+	call := upstream.ServiceCall{Method: http.MethodPost, Path: "/book", Header: http.Header{}}
+
+	It("ends a non-idempotent call at the limit of the headers", func() {
+		connection, err := upstream.New().Dial(context.Background(), pouring(header, noise))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = connection.Call(context.Background(), call, 1024)
+		Expect(err).To(MatchError(upstream.ErrResponseTooLarge))
+	})
+
+	It("ends a non-idempotent call at the limit of the body, which does not look complete", func() {
+		connection, err := upstream.New().Dial(context.Background(), pouring(header+"\r\n", strings.Repeat("x", 4096)))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = connection.Call(context.Background(), call, 1024)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("ends an idempotent call at the limit of the headers", func() {
+		_, err := upstream.New().CallIdempotent(context.Background(), pouring(header, noise), call, 1024)
+		Expect(err).To(MatchError(ContainSubstring("exceeded")))
+	})
+
+	It("ends an order at the limit of the headers", func() {
+		err := upstream.New().Order(context.Background(), pouring(header, noise), load, time.Minute, permitted)
+		Expect(err).To(MatchError(upstream.ErrResponseTooLarge))
+	})
+})
--- a/relay/upstream/order.go
+++ b/relay/upstream/order.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -66,7 +65,7 @@
 		}
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(&limitedReader{conn, maxHeadBytes}), nil)
+	response, err := readLimitedResponse(conn, maxHeadBytes, nil)
 	if err != nil {
 		return err
 	}
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -67,7 +66,7 @@
 	if err := request.Write(c.conn); err != nil {
 		return ServiceResponse{}, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(&limitedReader{c.conn, maxHeadBytes + framingFactor*limit}), request)
+	response, err := readLimitedResponse(c.conn, maxHeadBytes+framingFactor*limit, request)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
