Log how the end of an answer is marked and how many events were forwarded

Change: connection.Response has Framing in place of Unframed; 'served' and 'answer broken off' carry framing, events and last event. Measured: go test ./relay/forward ./relay/connection passes.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -70,9 +70,32 @@
 	once        sync.Once
 	// Reused reports whether the connection had carried an earlier request.
 	Reused bool
-	// Unframed reports that the body has neither a length nor chunks: it ends where the upstream closes the connection, so that a
-	// body which broke off can look complete.
-	Unframed bool
+	// Framing is how the body's end is marked.
+	Framing Framing
+}
+
+// Framing is how the end of a response's body is marked.
+type Framing string
+
+// Framings of a response's body.
+const (
+	// ByLength is a body with a Content-Length, or one that is empty by its status.
+	ByLength Framing = "length"
+	// ByChunks is a body in chunks, which ends with the last one.
+	ByChunks Framing = "chunks"
+	// UntilClose is a body with neither: it ends where the upstream closes the connection, so that a body which broke off can look
+	// complete.
+	UntilClose Framing = "close"
+)
+
+func framingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return ByChunks
+	case response.ContentLength >= 0:
+		return ByLength
+	}
+	return UntilClose
 }
 
 // Do sends a request once and returns when the response's header has arrived. After an error other than *NotSentError the
@@ -170,7 +193,7 @@
 		}
 		resp.Status, resp.Header, resp.Length, resp.body = response.StatusCode, response.Header, response.ContentLength, response.Body
 		resp.reuse = !response.Close
-		resp.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+		resp.Framing = framingOf(response)
 		resp.idleTimeout = keepAliveTimeout(response.Header)
 		return nil
 	}
@@ -179,7 +202,7 @@
 // skipForeign reads the body of a response to another request to its end.
 func (resp *Response) skipForeign(response *http.Response) error {
 	resp.pooledConn.pool.count(func(n *Counters) { n.Foreign++ })
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if framingOf(response) == UntilClose {
 		return errors.New("received a response to another request that ends with the connection")
 	}
 	if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil || n == maxSkippedBytes {
--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -153,7 +153,7 @@
 	defer memory.release()
 	for {
 		event, id, err := readEvent(reader, &memory)
-		if errors.Is(err, io.EOF) && answer.Unframed && len(event) > 0 {
+		if errors.Is(err, io.EOF) && answer.Framing == connection.UntilClose && len(event) > 0 {
 			// Nothing but the closing blank line of its last event shows that a stream without a frame is complete.
 			err = io.ErrUnexpectedEOF
 			event = nil
@@ -206,6 +206,7 @@
 		s.maxPause = max(s.maxPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	s.forwardedEvents++
 	s.setWriteDeadline()
 	if _, err := s.w.Write(event); err != nil {
 		return err
@@ -346,7 +347,7 @@
 func (s *session) abort(cause error) {
 	s.refusalKind = outcome.UpstreamFailed
 	s.f.log.WithFields(log.Fields{
-		"request": s.metadata.ID, "last": s.lastEventID, "age": s.f.now().Sub(s.arrived), "sends": s.sends, "cause": cause.Error(),
+		"request": s.metadata.ID, "last": s.lastEventID, "age": s.f.now().Sub(s.arrived), "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "cause": cause.Error(),
 	}).Info("answer broken off")
 	panic(http.ErrAbortHandler)
 }
@@ -375,6 +376,6 @@
 	total := s.f.now().Sub(s.arrived)
 	s.f.recorder(RequestRecord{Route: name, Status: s.status, TimeToAnswer: s.timeToAnswer, Total: total, Sends: s.sends, RefusalKind: s.refusalKind})
 	if s.refusalKind == "" {
-		s.f.log.WithFields(log.Fields{"request": s.metadata.ID, "route": name, "status": s.status, "first": s.timeToAnswer, "total": total, "pause": s.maxPause, "sends": s.sends}).Info("served")
+		s.f.log.WithFields(log.Fields{"request": s.metadata.ID, "route": name, "status": s.status, "first": s.timeToAnswer, "total": total, "pause": s.maxPause, "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "last": s.lastEventID}).Info("served")
 	}
 }
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -48,6 +48,9 @@
 	lastEventAt time.Time
 	maxPause    time.Duration
 	refusalKind outcome.Kind
+	// framing is how the last answer's end is marked; forwardedEvents counts the events sent to the caller.
+	framing         connection.Framing
+	forwardedEvents int
 }
 
 func (s *session) run() {
@@ -209,6 +212,7 @@
 		return s.attemptFailed(ctx, p, err, Failure{}), err
 	}
 	defer answer.Close()
+	s.framing = answer.Framing
 	answerMetadata := s.f.dialect.ReadAnswer(answer.Status, answer.Header)
 	if answerMetadata.NotRun {
 		s.logAttempt(p, "upstream did not run the request", answer.Status, nil)
