Never pass a stream that ended within an event, or without any, as complete

Cause: the end of a stream was read from the framing of its answer alone. A complete frame passed a text that ends within an event, and the end of the connection passed an answer without length or chunks that had no event yet; had covered only the latter with a part of an event. Such a stream was neither resumed nor broken off towards the caller. Change: readEvent returns errTornEvent for bytes after the last blank line, whatever the framing; a stream that ends with its connection before its first event counts as broken. Both go the way of every broken attempt: resumed where the route allows, else the caller's connection is ended.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -151,12 +151,11 @@
 	controller := http.NewResponseController(s.w)
 	memory := reservation{pool: &s.f.buffers}
 	defer memory.release()
-	for {
+	for received := 0; ; received++ {
 		event, id, err := readEvent(reader, &memory)
-		if errors.Is(err, io.EOF) && answer.Framing == connection.UntilClose && len(event) > 0 {
-			// Nothing but the closing blank line of its last event shows that a stream without a frame is complete.
-			err = io.ErrUnexpectedEOF
-			event = nil
+		if errors.Is(err, io.EOF) && answer.Framing == connection.UntilClose && received == 0 {
+			// The closing blank line of its last event is all that shows that a stream which ends with its connection is complete.
+			err = errNoEvent
 		}
 		if len(event) > 0 {
 			if isProgress(event, id) {
@@ -230,8 +229,14 @@
 	return errA != nil || errB != nil || a > b
 }
 
-// readEvent returns the next event with its closing blank line, and its ID or an empty string. If the answer ends properly, the
-// bytes after the last blank line are returned with io.EOF. The caller releases the event's memory.
+// errTornEvent means that a stream ended within an event: its upstream broke off, whatever the framing of the answer says.
+var errTornEvent = errors.New("the upstream ended the stream within an event")
+
+// errNoEvent means that a stream ended with its connection before its first event.
+var errNoEvent = errors.New("the upstream closed the connection before the first event")
+
+// readEvent returns the next event with its closing blank line, and its ID or an empty string. After the last event it returns
+// io.EOF, or errTornEvent if the answer ends within an event. The caller releases the event's memory.
 func readEvent(r *bufio.Reader, memory *reservation) (event []byte, id string, err error) {
 	start := 0
 	for len(event) < maxEventBytes {
@@ -247,8 +252,8 @@
 		if text, ok := bytes.CutPrefix(event[start:], []byte("id:")); ok {
 			id = string(bytes.TrimSpace(text))
 		}
-		if errors.Is(err, io.EOF) {
-			return event, id, err
+		if errors.Is(err, io.EOF) && len(event) > 0 {
+			return nil, "", errTornEvent
 		}
 		if err != nil {
 			return nil, "", err
