Test that the daemon never passes a torn answer of an engine as complete

Change: fake engines end an answer without a length or chunks at any byte; streamed and whole answers are read for each. Measured: passes on this code and needed no change: a stream of the daemon's protocol is complete only with its finish reason.

--- a/relay/gateway/fake_test.go
+++ b/relay/gateway/fake_test.go
@@ -25,13 +25,15 @@
 	duplicateAt int
 	skipAt      int
 	silentAt    int
-	release     chan struct{}
-	requests    []http.Header
-	ended       int
+	// tornAt is the number of bytes after which an answer without a length or chunks ends with its connection.
+	tornAt   int
+	release  chan struct{}
+	requests []http.Header
+	ended    int
 }
 
 func newFakeEngine() *fakeEngine {
-	e := &fakeEngine{breakAt: -1, foreignAt: -1, duplicateAt: -1, skipAt: -1, silentAt: -1, release: make(chan struct{})}
+	e := &fakeEngine{breakAt: -1, foreignAt: -1, duplicateAt: -1, skipAt: -1, silentAt: -1, tornAt: -1, release: make(chan struct{})}
 	e.server = httptest.NewServer(e)
 	return e
 }
@@ -53,6 +55,30 @@
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	e.requests = append(e.requests, r.Header.Clone())
+	tornAt := e.tornAt
+	e.mu.Unlock()
+	if tornAt >= 0 {
+		e.answerTorn(w, r, tornAt)
+		return
+	}
+	e.answer(w, r)
+}
+
+// answerTorn sends the first bytes of an answer without a length or chunks and closes the connection.
+func (e *fakeEngine) answerTorn(w http.ResponseWriter, r *http.Request, bytes int) {
+	whole := httptest.NewRecorder()
+	e.answer(whole, r)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	text := whole.Body.String()
+	_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Incarnation: 7\r\nContent-Type: text/event-stream\r\n\r\n" + text[:min(bytes, len(text))]))
+}
+
+func (e *fakeEngine) answer(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
 	breakAt, foreignAt, duplicateAt, skipAt, silentAt := e.breakAt, e.foreignAt, e.duplicateAt, e.skipAt, e.silentAt
 	e.mu.Unlock()
 	id := r.Header.Get("X-Request-Id")
--- a/relay/gateway/gateway_test.go
+++ b/relay/gateway/gateway_test.go
@@ -154,6 +154,27 @@
 		})
 	}
 
+	// Guards against an answer without a length or chunks that breaks off and reaches its caller as complete.
+	It("receive the complete text or an error wherever an answer without a frame ends with its connection", func() {
+		h := newHarness("1")
+		for torn := 0; torn < 2600; torn += 13 {
+			h.engines[0].mu.Lock()
+			h.engines[0].tornAt = torn
+			h.engines[0].mu.Unlock()
+			for len(h.records) > 0 {
+				<-h.records
+			}
+			whole := h.post(strings.Replace(streamed, `"stream":true,`, "", 1), nil)
+			text, err := io.ReadAll(whole.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(whole.StatusCode != http.StatusOK || strings.Contains(string(text), completeText())).To(BeTrue(), "torn after %d bytes: %s", torn, text)
+			text, err = io.ReadAll(h.post(streamed, nil).Body)
+			Expect(err).NotTo(HaveOccurred())
+			delivered := strings.Count(string(text), "\nid: ") + 1
+			Expect(strings.Contains(string(text), "[DONE]")).To(Equal(delivered == answerTokens+1), "torn after %d bytes: %s", torn, text)
+		}
+	})
+
 	It("end with an error instead of a resume under another weights version, which would mix two models' texts", func() {
 		h := newHarness("2", "1")
 		h.engines[0].breakAt, h.engines[1].breakAt = 5, 5
