Log the prompt parts and the age of an attempt that broke

Change: 'attempt broke' and its kin carry parts, prompt tokens, the framing of the answer and the age of the attempt.

--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -48,7 +48,8 @@
 	lastEventAt time.Time
 	maxPause    time.Duration
 	refusalKind outcome.Kind
-	// framing is how the last answer's end is marked; forwardedEvents counts the events sent to the caller.
+	// sentAt is when the last attempt was sent, framing how its answer's end is marked (empty before its header arrives); forwardedEvents counts the events sent to the caller.
+	sentAt          time.Time
 	framing         connection.Framing
 	forwardedEvents int
 }
@@ -197,6 +198,7 @@
 		s.f.budget.Deposit(s.placementRequest.Service.Name)
 	}
 	s.sends++
+	s.framing, s.sentAt = "", s.f.now()
 	id := s.metadata.ID
 	timer := s.newStallTimer(cancel, p)
 	defer timer.stop()
@@ -256,8 +258,20 @@
 		"request": s.metadata.ID, "upstream": p.Upstream.ID, "service": p.Upstream.Service, "send": s.sends, "runs": s.runs, "status": status,
 		"age": s.f.now().Sub(s.arrived), "weights": p.Weights,
 	})
+	if s.metadata.Model != "" {
+		entry = entry.WithFields(log.Fields{"parts": partIDs(s.metadata.Parts), "prompt": s.metadata.PromptTokens, "framing": s.framing, "attempt": s.f.now().Sub(s.sentAt)})
+	}
 	if err != nil {
 		entry = entry.WithField("cause", err.Error())
 	}
 	entry.Info(event)
 }
+
+// partIDs returns the IDs of the parts of a prompt, separated by commas.
+func partIDs(parts []Part) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = part.ID
+	}
+	return strings.Join(ids, ",")
+}
