--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -20,6 +20,8 @@
 	// token, 0 for none.
 	Parts      []uint64
 	TargetTTFT time.Duration
+	// SharedParts identify the parts of the prompt that other requests may have as well.
+	SharedParts []uint64
 	// PromptTokens and AnswerTokens are estimates.
 	PromptTokens int
 	AnswerTokens int
@@ -66,6 +68,8 @@
 	// Sent is set if a byte of the request may have been sent, Received if a byte of the answer arrived.
 	Sent     bool
 	Received bool
+	// Ended is set if the connection ended without a complete answer, as when the upstream crashes.
+	Ended bool
 	// Leaving is set if the upstream reported that it is leaving.
 	Leaving bool
 	// NotRun is set if the upstream reported that it did not run the request. Unless Received is set, the failure neither counts
