Keep a prompt part from the engines once several have ended under it

Cause: nothing connected one crash with the next. Each request, and each retry of it, went to the next engine, as for any broken attempt. Change: package quarantine. A VM reports the parts of requests under which an engine's connection ended, unless it had written for a second, to the control VMs. After three crashes in a row these ask all VMs whether the part was answered meanwhile; if not, it is in quarantine on all VMs. A VM that can reach no control VM decides after five crashes of its own. Requests with the part are refused at once as not run, in the queue as well; one VM tries it again after 30 s, and an answer lifts the verdict. Verdicts are repeated each second, and by the VMs to the control VMs, so that restarts forget none. The daemon takes the messages of a prompt for its parts. The spec's engines no longer come back within a second of their end, which no engine does; it fails on the code before as well.

--- a/relay/app_callers.go
+++ b/relay/app_callers.go
@@ -21,6 +21,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/gateway"
+	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
@@ -61,11 +62,16 @@
 }
 
 func newDispatcher(s settings.Settings) *dispatch.Dispatcher {
-	return dispatch.New(routing.New(
+	var options []quarantine.Option
+	if s.Data != "" {
+		options = append(options, quarantine.WithJudge())
+	}
+	core := routing.New(
 		routing.WithLocation(s.Name, s.Centre, s.Region), routing.WithPolicy(routing.Policy(s.Routing.Policy)),
 		routing.WithLinks(centreLink, regionLink), routing.WithSpan(spanByName[s.Routing.Span]), routing.WithImport(s.Routing.Import), routing.WithMaxQueued(s.Limits.Queue),
 		routing.WithRandom(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))),
-	))
+	)
+	return dispatch.New(core, dispatch.WithQuarantine(quarantine.New(s.Name, options...)))
 }
 
 // readiness is the state that readiness checks of the load balancer report.
--- a/relay/app_control.go
+++ b/relay/app_control.go
@@ -9,6 +9,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -112,12 +113,19 @@
 			d.ReceiveDigest(m.From, digest)
 			return
 		}
+		if report := m.Body.GetQuarantine(); report != nil {
+			d.ReceiveQuarantine(m.From, report)
+			return
+		}
 		host.Deliver(m)
 	}
-	return peer.New(
+	mesh := peer.New(
 		peer.WithName(s.Name, s.Centre, node.Incarnation().Boot), peer.WithAddress(s.Listeners.Peers), peer.WithReceive(receive),
 		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithLog(logger),
 	)
+	judges := slices.DeleteFunc(peerNames(s.Control), func(name string) bool { return name == s.Name })
+	d.OnQuarantine(dispatch.QuarantineSender(mesh, func() []string { return judges }, logger))
+	return mesh
 }
 
 func configurationOf(host *control.Host) func() gateway.Configuration {
--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 )
 
@@ -22,24 +24,41 @@
 	started time.Time
 	inbox   chan func(now time.Duration)
 	// queued has the requests that wait in the core's queue, and retries the retries that the core allowed, both by request ID.
-	queued    map[string]chan placement
+	queued    map[string]queuedRequest
 	retries   map[string]routing.Retry
 	upstreams map[string]catalogue.Upstream
 	// configured is closed when the core has its first configuration.
 	configured chan struct{}
 	// onPlacement is the callback set with OnPlacement, or nil.
-	onPlacement func(*peer.Envelope)
-	done        chan struct{}
-	stop        context.CancelFunc
+	onPlacement  func(*peer.Envelope)
+	quarantine   *quarantine.Core
+	quarantined  atomic.Int64
+	onQuarantine func(quarantine.Effects)
+	done         chan struct{}
+	stop         context.CancelFunc
 }
 
+// queuedRequest is a request that waits in the core's queue.
+type queuedRequest struct {
+	placements  chan placement
+	sharedParts []uint64
+}
+
+// Option configures a Dispatcher.
+type Option func(*Dispatcher)
+
 // New returns a dispatcher; Run starts it.
-func New(core *routing.Core) *Dispatcher {
-	return &Dispatcher{
+func New(core *routing.Core, options ...Option) *Dispatcher {
+	d := &Dispatcher{
 		core: core, started: time.Now(), inbox: make(chan func(time.Duration), inboxSize),
-		queued: map[string]chan placement{}, retries: map[string]routing.Retry{}, upstreams: map[string]catalogue.Upstream{},
+		queued: map[string]queuedRequest{}, retries: map[string]routing.Retry{}, upstreams: map[string]catalogue.Upstream{},
 		configured: make(chan struct{}), done: make(chan struct{}),
+		quarantine: quarantine.New(""), onQuarantine: func(quarantine.Effects) {},
+	}
+	for _, option := range options {
+		option(d)
 	}
+	return d
 }
 
 // OnPlacement sets a callback that receives a message for each placement that peers must learn of before the next digest. The
@@ -73,7 +92,9 @@
 		case input := <-d.inbox:
 			input(time.Since(d.started))
 		case <-ticker.C:
-			d.step(time.Since(d.started), routing.Tick{})
+			now := time.Since(d.started)
+			d.step(now, routing.Tick{})
+			d.tickQuarantine(now)
 		}
 	}
 }
@@ -94,7 +115,7 @@
 	effects := d.core.Step(now, message)
 	for _, release := range effects.Released {
 		if queued, ok := d.queued[release.ID]; ok {
-			queued <- d.placement(release.Decision)
+			queued.placements <- d.placement(release.Decision)
 			delete(d.queued, release.ID)
 		}
 	}
@@ -168,16 +189,20 @@
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (*Ticket, error) {
 	placements := make(chan placement, 1)
 	d.post(func(now time.Duration) {
+		if remaining, admitted := d.quarantine.Admit(now, request.SharedParts); !admitted {
+			placements <- placement{decision: routing.Decision{Refusal: quarantineRefusal(remaining)}}
+			return
+		}
 		decision := d.core.Decide(now, d.routingRequest(now, request))
 		if decision.Queued {
-			d.queued[request.ID] = placements
+			d.queued[request.ID] = queuedRequest{placements, request.SharedParts}
 			return
 		}
 		placements <- d.placement(decision)
 	})
 	select {
 	case p := <-placements:
-		return d.newTicket(request.ID, p)
+		return d.newTicket(request, p)
 	case <-ctx.Done():
 		return d.abandon(ctx, request.ID, placements)
 	case <-d.done:
@@ -202,11 +227,11 @@
 	return nil, outcome.Refuse(outcome.Cancelled, "the caller went away while the request was queued").WithCause(context.Cause(ctx))
 }
 
-func (d *Dispatcher) newTicket(id string, p placement) (*Ticket, error) {
+func (d *Dispatcher) newTicket(request Request, p placement) (*Ticket, error) {
 	if p.decision.Refusal != nil {
 		return nil, p.decision.Refusal
 	}
-	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.kvImport, FetchFrom: p.fetch, SaveTo: p.save, CachedTokens: p.decision.CachedTokens, ExpectedTTFT: p.decision.ExpectedTTFT, dispatcher: d, id: id}
+	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.kvImport, FetchFrom: p.fetch, SaveTo: p.save, CachedTokens: p.decision.CachedTokens, ExpectedTTFT: p.decision.ExpectedTTFT, dispatcher: d, id: request.ID, sharedParts: request.SharedParts, placedAt: time.Since(d.started)}
 	if p.decision.Hedge != nil {
 		t.HedgeDelay = p.decision.Hedge.Delay
 	}
@@ -236,6 +261,9 @@
 	}
 	results := make(chan result, 1)
 	d.post(func(now time.Duration) {
+		if failure.Ended {
+			t.recordCrash(now)
+		}
 		if failure.Leaving {
 			d.step(now, routing.Leaving{Upstream: t.Upstream.Name, Leaving: true})
 		}
@@ -267,7 +295,7 @@
 			tickets <- nil
 			return
 		}
-		tickets <- &Ticket{Upstream: d.upstreams[decision.Upstream], Priority: decision.Priority, dispatcher: d, id: t.id}
+		tickets <- &Ticket{Upstream: d.upstreams[decision.Upstream], Priority: decision.Priority, dispatcher: d, id: t.id, sharedParts: t.sharedParts, placedAt: now}
 	})
 	select {
 	case second := <-tickets:
--- a/relay/dispatch/quarantine_test.go
+++ b/relay/dispatch/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
+	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
 )
@@ -22,6 +24,9 @@
 	soundPart    = 3
 )
 
+// beginTime is longer than a crash counts after the first token.
+const beginTime = 1100 * time.Millisecond
+
 // crashInterval is the time between two crashes.
 const crashInterval = 300 * time.Millisecond
 
@@ -43,11 +48,14 @@
 
 var requestNumber int
 
+// ended are the engines that have ended; they are not used again.
+var ended []string
+
 // acquire asks for an engine for a new request with the given parts besides its own last one.
 func acquire(d *dispatch.Dispatcher, parts ...uint64) (*dispatch.Ticket, error) {
 	requestNumber++
 	return d.Acquire(context.Background(), dispatch.Request{
-		ID: fmt.Sprint("r", requestNumber), Assistant: catalogue.Assistant{Model: "m"}, SharedParts: parts, PromptTokens: 10,
+		ID: fmt.Sprint("r", requestNumber), Assistant: catalogue.Assistant{Model: "m"}, SharedParts: parts, PromptTokens: 10, FailedUpstreams: ended,
 	})
 }
 
@@ -56,8 +64,14 @@
 	GinkgoHelper()
 	ticket, err := acquire(d, parts...)
 	Expect(err).NotTo(HaveOccurred())
+	end(ticket)
+}
+
+// end lets the engine of a request end just after its first token.
+func end(ticket *dispatch.Ticket) {
 	ticket.FirstToken(1)
 	ticket.Fail(dispatch.Failure{Sent: true, Received: true, Ended: true})
+	ended = append(ended, ticket.Upstream.Name)
 }
 
 // answer lets an engine answer a request with the given parts.
@@ -70,6 +84,8 @@
 }
 
 var _ = Describe("a prompt part under which engines end", func() {
+	BeforeEach(func() { ended = nil })
+
 	// Guards against requests with one part in their prompts that end engine after engine.
 	It("reaches no more than three engines after the fifth that ended under it", func() {
 		d := startFleet(40)
@@ -78,12 +94,41 @@
 			ticket, err := acquire(d, sharedPart, crashingPart)
 			if err == nil {
 				sent++
-				ticket.FirstToken(1)
-				ticket.Fail(dispatch.Failure{Sent: true, Received: true, Ended: true})
+				end(ticket)
 			}
 			answer(d, sharedPart, soundPart)
 			time.Sleep(crashInterval)
 		}
 		Expect(sent).To(BeNumerically("<=", 5+3))
 	})
+
+	It("is refused at once as not run, while requests with other parts are served", func() {
+		d := startFleet(40)
+		for range 5 {
+			crash(d, sharedPart, crashingPart)
+			answer(d, sharedPart, soundPart)
+			time.Sleep(crashInterval)
+		}
+		_, err := acquire(d, sharedPart, crashingPart)
+		var refusal *outcome.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Kind).To(Equal(outcome.Quarantined))
+		Expect(refusal.Outcome).To(Equal(outcome.NotRun))
+		Expect(refusal.RetryAfter).To(BeNumerically(">", time.Minute))
+		answer(d, sharedPart, soundPart)
+		Expect(d.Quarantined()).To(Equal(1))
+	})
+
+	It("stays in use while engines end that had written for a while", func() {
+		d := startFleet(40)
+		for range 6 {
+			ticket, err := acquire(d, crashingPart)
+			Expect(err).NotTo(HaveOccurred())
+			ticket.FirstToken(1)
+			time.Sleep(beginTime)
+			ticket.Fail(dispatch.Failure{Sent: true, Received: true, Ended: true})
+			ended = append(ended, ticket.Upstream.Name)
+		}
+		answer(d, crashingPart)
+	})
 })
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -53,8 +53,12 @@
 	// Import is the engine from which to import the prefix's KV cache before the prefill; nil means no import.
 	Import *Import
 
-	dispatcher *Dispatcher
-	id         string
+	dispatcher  *Dispatcher
+	id          string
+	sharedParts []uint64
+	placedAt    time.Duration
+	// firstTokenAt belongs to the routing goroutine; it is 0 before the first token.
+	firstTokenAt time.Duration
 }
 
 // Import names the engine that exports a prefix, and its incarnation at the time of the decision.
@@ -79,11 +83,20 @@
 
 // FirstToken reports that the upstream began to answer under the given incarnation.
 func (t *Ticket) FirstToken(incarnation uint64) {
-	t.dispatcher.notify(routing.FirstToken{ID: t.id, Upstream: t.Upstream.Name, Incarnation: incarnation})
+	t.dispatcher.post(func(now time.Duration) {
+		t.firstTokenAt = now
+		t.dispatcher.step(now, routing.FirstToken{ID: t.id, Upstream: t.Upstream.Name, Incarnation: incarnation})
+	})
 }
 
 // Finish reports a complete answer.
 func (t *Ticket) Finish(incarnation uint64, counts upstream.Counts) {
+	t.dispatcher.post(func(now time.Duration) { t.dispatcher.quarantine.Answered(now, t.sharedParts) })
+	t.FinishError(incarnation, counts)
+}
+
+// FinishError reports a complete answer that is the engine's error, which doesn't show that it can answer the prompt.
+func (t *Ticket) FinishError(incarnation uint64, counts upstream.Counts) {
 	t.dispatcher.notify(routing.Finished{
 		ID: t.id, Upstream: t.Upstream.Name, Incarnation: incarnation,
 		PromptTokens: counts.Prompt, CachedTokens: counts.Cached, AnswerTokens: counts.Answer, CountsMissing: counts.Missing,
--- a/relay/forward/dialect.go
+++ b/relay/forward/dialect.go
@@ -56,6 +56,8 @@
 
 // AnswerMetadata is the metadata in the header of an upstream's answer.
 type AnswerMetadata struct {
+	// Status is the status of the answer.
+	Status int
 	// ID is the ID of the answered request; empty if it is not given.
 	ID string
 	// NotRun reports that the upstream has not run the request and will not.
--- a/relay/forward/placement.go
+++ b/relay/forward/placement.go
@@ -53,6 +53,8 @@
 type Failure struct {
 	// Sent reports that the request may have reached the upstream, Received that the answer had begun.
 	Sent, Received bool
+	// Ended reports that the connection ended without a complete answer, as when the upstream crashes.
+	Ended bool
 	// NotRun reports that the upstream declared the request not run.
 	NotRun   bool
 	Status   int
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -216,6 +218,7 @@
 	defer answer.Close()
 	s.framing = answer.Framing
 	answerMetadata := s.f.dialect.ReadAnswer(answer.Status, answer.Header)
+	answerMetadata.Status = answer.Status
 	if answerMetadata.NotRun {
 		s.logAttempt(p, "upstream did not run the request", answer.Status, nil)
 		p.Fail(Failure{NotRun: true, Status: answer.Status, Metadata: answerMetadata})
@@ -249,10 +252,17 @@
 		return true
 	}
 	s.logAttempt(p, "attempt broke", 0, err)
+	f.Ended = cause == nil && hasEnded(err)
 	p.Fail(f)
 	return false
 }
 
+// hasEnded reports whether an attempt failed because its connection ended, as when the upstream crashes.
+func hasEnded(err error) bool {
+	return errors.Is(err, connection.ErrClosed) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		errors.Is(err, errTornEvent) || errors.Is(err, errNoEvent)
+}
+
 func (s *session) logAttempt(p *Placement, event string, status int, err error) {
 	entry := s.f.log.WithFields(log.Fields{
 		"request": s.metadata.ID, "upstream": p.Upstream.ID, "service": p.Upstream.Service, "send": s.sends, "runs": s.runs, "status": status,
--- a/relay/gateway/answer_writer.go
+++ b/relay/gateway/answer_writer.go
@@ -126,7 +126,7 @@
 		return
 	}
 	if refusal.Status() == http.StatusServiceUnavailable {
-		a.writer.Header().Set("Retry-After", "1")
+		a.writer.Header().Set("Retry-After", retryAfter(refusal))
 	}
 	a.writer.Header().Set("Content-Type", "application/json")
 	a.writer.WriteHeader(refusal.Status())
--- a/relay/gateway/fake_test.go
+++ b/relay/gateway/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -26,7 +27,9 @@
 	skipAt      int
 	silentAt    int
 	// tornAt is the number of bytes after which an answer without a length or chunks ends with its connection.
-	tornAt   int
+	tornAt int
+	// crashOn is a text; the answer to a request that contains it breaks off after its first event.
+	crashOn  string
 	release  chan struct{}
 	requests []http.Header
 	ended    int
@@ -55,8 +58,13 @@
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	e.requests = append(e.requests, r.Header.Clone())
-	tornAt := e.tornAt
+	tornAt, crashOn := e.tornAt, e.crashOn
 	e.mu.Unlock()
+	body, _ := io.ReadAll(r.Body)
+	if crashOn != "" && strings.Contains(string(body), crashOn) {
+		event(w, r.Header.Get("X-Request-Id"), 0, answerTokens)
+		panic(http.ErrAbortHandler)
+	}
 	if tornAt >= 0 {
 		e.answerTorn(w, r, tornAt)
 		return
--- a/relay/gateway/gateway_test.go
+++ b/relay/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -175,6 +176,32 @@
 		}
 	})
 
+	// Guards against requests with one message in their prompts that end engine after engine.
+	It("stop reaching engines once five have ended under one of their messages, while others are answered", func() {
+		h := newHarness(slices.Repeat([]string{"1"}, 30)...)
+		for _, e := range h.engines {
+			e.crashOn = "torn page"
+		}
+		ask := func(system string, question int) *http.Response {
+			for len(h.records) > 0 {
+				<-h.records
+			}
+			return h.post(fmt.Sprintf(`{"model":"recipes","messages":[{"role":"system","content":%q},{"role":"user","content":"sheet %d"}]}`, system, question), nil)
+		}
+		for i := range 20 {
+			_, _ = io.Copy(io.Discard, ask("torn page", i).Body)
+		}
+		arrivals := 0
+		for _, e := range h.engines {
+			arrivals += e.requestCount()
+		}
+		Expect(arrivals).To(BeNumerically("<=", 5+3))
+		response := ask("torn page", 20)
+		Expect(response.Header.Get("Retry-After")).To(MatchRegexp("^[0-9]{3}$"))
+		expectRefusal(response, http.StatusServiceUnavailable, "", outcome.NotRun)
+		Expect(ask("whole page", 21).StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("end with an error instead of a resume under another weights version, which would mix two models' texts", func() {
 		h := newHarness("2", "1")
 		h.engines[0].breakAt, h.engines[1].breakAt = 5, 5
--- a/relay/gateway/request_info.go
+++ b/relay/gateway/request_info.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -85,7 +86,7 @@
 func (g *Gateway) refuse(w http.ResponseWriter, info requestInfo, err error) {
 	refusal := asRefusal(err)
 	if refusal.Status() == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "1")
+		w.Header().Set("Retry-After", retryAfter(refusal))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refusal.Status())
@@ -120,3 +121,9 @@
 	}
 	entry.Info("refused")
 }
+
+// retryAfter returns the Retry-After of a refusal in whole seconds, at least one.
+func retryAfter(refusal *outcome.Refusal) string {
+	wait := max(time.Second, refusal.RetryAfter)
+	return strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10)
+}
--- a/relay/gateway/session.go
+++ b/relay/gateway/session.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -151,7 +153,7 @@
 			started.ticket.Cancel()
 			return 0, false, err
 		}
-		retryDelay, retryAllowed := started.ticket.Fail(dispatch.Failure{Sent: true, Received: true})
+		retryDelay, retryAllowed := started.ticket.Fail(dispatch.Failure{Sent: true, Received: true, Ended: hasEnded(err)})
 		return retryDelay, retryAllowed, err
 	}
 	started.ticket.Finish(started.source.Incarnation, s.record.Counts)
@@ -188,6 +190,11 @@
 	}
 }
 
+// hasEnded reports whether an attempt failed because its connection ended, as when the engine crashes.
+func hasEnded(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (s *session) forwardToken(source *upstream.Stream, event upstream.Event) error {
 	verdict := s.core.Accept(stream.Event{Request: event.Request, Sequence: event.Sequence, Finish: event.Finish})
 	switch verdict {
--- a/relay/gateway/text.go
+++ b/relay/gateway/text.go
@@ -96,7 +96,7 @@
 		gateway: g, requestInfo: info, path: r.URL.Path, body: body, parsed: parsed, assistant: assistant,
 		core: stream.New(info.id, version, from),
 		dispatchRequest: dispatch.Request{
-			ID: info.id, Account: info.account, Assistant: assistant, Levels: parsed.Levels, PromptTokens: parsed.PromptTokens,
+			ID: info.id, Account: info.account, Assistant: assistant, Levels: parsed.Levels, SharedParts: parsed.SharedParts, PromptTokens: parsed.PromptTokens,
 			AnswerTokens: parsed.AnswerTokens, Idempotent: true, Deadline: deadline, Arrived: info.arrived, Pinned: pinned,
 		},
 		answerWriter: newAnswerWriter(w, kind, parsed, info.id, g.writeTimeout),
--- a/relay/outcome/refusal.go
+++ b/relay/outcome/refusal.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Kind is the reason of a refusal; each kind has a counter in the metrics.
@@ -31,6 +32,7 @@
 	VersionUnavailable Kind = "version_gone"
 	Cancelled          Kind = "cancelled"
 	ShuttingDown       Kind = "shutting_down"
+	Quarantined        Kind = "quarantined"
 )
 
 var statusByKind = map[Kind]int{
@@ -55,6 +57,7 @@
 	// 499 is the customary status for a caller that disconnected; net/http does not define it.
 	Cancelled:    499,
 	ShuttingDown: http.StatusServiceUnavailable,
+	Quarantined:  http.StatusServiceUnavailable,
 }
 
 // Kinds returns every refusal kind in no particular order.
@@ -76,6 +79,8 @@
 	Remedy string
 	// Cause is for the log; Body leaves it out. nil means that there is none.
 	Cause error
+	// RetryAfter is the time before which no retry can succeed; 0 if it is not known.
+	RetryAfter time.Duration
 }
 
 // Refuse returns the refusal of a request that was not run; the format and its arguments give the remedy.
@@ -94,6 +99,12 @@
 	return r
 }
 
+// WithRetryAfter sets the time before which no retry can succeed and returns the refusal.
+func (r *Refusal) WithRetryAfter(wait time.Duration) *Refusal {
+	r.RetryAfter = wait
+	return r
+}
+
 // WithCause sets the cause, which is for the log, and returns the refusal.
 func (r *Refusal) WithCause(err error) *Refusal {
 	r.Cause = err
--- a/relay/prompt/levels.go
+++ b/relay/prompt/levels.go
@@ -25,10 +25,13 @@
 	bytes        int
 	nextBoundary int
 	levels       []Level
+	// part hashes the current message alone; parts are the hashes of the messages before.
+	part  *xxhash.Digest
+	parts []uint64
 }
 
 func newScanner() *scanner {
-	return &scanner{digest: xxhash.New(), nextBoundary: minPrefixBytes}
+	return &scanner{digest: xxhash.New(), nextBoundary: minPrefixBytes, part: xxhash.New()}
 }
 
 func (s *scanner) write(text string) {
@@ -44,9 +47,16 @@
 
 func (s *scanner) hash(text string) {
 	_, _ = s.digest.WriteString(text)
+	_, _ = s.part.WriteString(text)
 	s.bytes += len(text)
 }
 
+// endPart ends a part of the prompt.
+func (s *scanner) endPart() {
+	s.parts = append(s.parts, s.part.Sum64())
+	s.part.Reset()
+}
+
 // recordLevel records a level at the current length, unless that is too short, equals the last level or exceeds maxLevels.
 func (s *scanner) recordLevel() {
 	tokens := s.bytes / bytesPerToken
--- a/relay/prompt/request.go
+++ b/relay/prompt/request.go
@@ -32,6 +32,8 @@
 	IncludeUsage bool
 	// Levels are the nested prefixes of the prompt, shortest first.
 	Levels []Level
+	// SharedParts are the hashes of the messages but the last, which belongs to the request alone.
+	SharedParts []uint64
 	// PromptTokens and AnswerTokens are estimates; the caller's token limit takes the place of the default for AnswerTokens.
 	PromptTokens int
 	AnswerTokens int
@@ -82,7 +84,7 @@
 	if err != nil {
 		return Request{}, err
 	}
-	request.Levels = scan.levels
+	request.Levels, request.SharedParts = scan.levels, scan.parts[:max(0, len(scan.parts)-1)]
 	request.PromptTokens = max(1, scan.bytes/bytesPerToken)
 	return request, nil
 }
@@ -162,6 +164,7 @@
 		return err
 	}
 	scan.recordLevel()
+	scan.endPart()
 	return nil
 }
 
--- a/relay/prompt/request_test.go
+++ b/relay/prompt/request_test.go
@@ -78,3 +78,24 @@
 		prompt.Rewrite(raw, "base")
 	}
 }
+
+var _ = Describe("shared parts", func() {
+	parts := func(body string) []uint64 {
+		request, err := prompt.Parse(prompt.Chat, []byte(body))
+		Expect(err).NotTo(HaveOccurred())
+		return request.SharedParts
+	}
+
+	It("are the messages before the last one, each by itself", func() {
+		one := parts(`{"model":"m","messages":[{"role":"system","content":"a"},{"role":"user","content":"b"},{"role":"user","content":"x"}]}`)
+		other := parts(`{"model":"m","messages":[{"role":"system","content":"c"},{"role":"user","content":"b"},{"role":"user","content":"y"}]}`)
+		Expect(one).To(HaveLen(2))
+		Expect(other).To(HaveLen(2))
+		Expect(one[0]).NotTo(Equal(other[0]))
+		Expect(one[1]).To(Equal(other[1]))
+	})
+
+	It("are none for a single message", func() {
+		Expect(parts(`{"model":"m","messages":[{"role":"user","content":"a"}]}`)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/relay/quarantine/answers.go
@@ -0,0 +1,29 @@
+package quarantine
+
+import "time"
+
+// maxAnswers is the number of parts after which the older half of answers is dropped.
+const maxAnswers = 4096
+
+// answers has the times at which parts were last answered, in two generations, of which the older one is dropped as a whole: after
+// suspicionLifetime, or sooner if there are many. The zero value is ready to use.
+type answers struct {
+	recent, older map[uint64]time.Duration
+	since         time.Duration
+}
+
+func (a *answers) add(now time.Duration, part uint64) {
+	if a.recent == nil || len(a.recent) >= maxAnswers/2 || now-a.since >= suspicionLifetime {
+		a.recent, a.older, a.since = map[uint64]time.Duration{}, a.recent, now
+	}
+	a.recent[part] = now
+}
+
+// last returns when a part was last answered, as far as it is known.
+func (a *answers) last(part uint64) (time.Duration, bool) {
+	if at, ok := a.recent[part]; ok {
+		return at, true
+	}
+	at, ok := a.older[part]
+	return at, ok
+}
--- /dev/null
+++ b/relay/quarantine/core.go
@@ -0,0 +1,383 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// judgeCrashes is the number of engines that must have ended under a part before a judge asks about it; ownCrashes is the number
+	// for a VM that has nothing but its own requests to go by.
+	judgeCrashes = 3
+	ownCrashes   = 5
+	// minCrashInterval is the least time between two crashes that count unless the later request was sent after the earlier crash:
+	// engines that end at the same moment have a common cause elsewhere, such as their rack.
+	minCrashInterval = 250 * time.Millisecond
+	// objectionTime is how long a judge waits for the VMs to report answers before it passes a verdict.
+	objectionTime = 300 * time.Millisecond
+	// suspicionLifetime is how long a part stays under suspicion after a crash.
+	suspicionLifetime = 30 * time.Second
+	// restartTime is less than an engine takes to come back: a crash that is reported again within it is the same one.
+	restartTime = time.Second
+	// verdictLifetime is how long a verdict lasts. firstTrial is the time until its first trial, which grows fourfold with each crash
+	// under the part up to maxTrial; trialTimeout is the time after which another trial may replace one without an outcome.
+	verdictLifetime = 10 * time.Minute
+	firstTrial      = 30 * time.Second
+	maxTrial        = 8 * time.Minute
+	trialTimeout    = 30 * time.Second
+	// repeatToEveryone and repeatToJudges are the intervals at which verdicts are repeated.
+	repeatToEveryone = time.Second
+	repeatToJudges   = 5 * time.Second
+	// maxSuspicions and maxVerdicts bound the memory of a core.
+	maxSuspicions = 4096
+	maxVerdicts   = 256
+)
+
+// suspicion is a part under which engines have ended since it was last answered.
+type suspicion struct {
+	first, last time.Duration
+	// crashes is the number of crashes that count; crashedAt is when each engine last ended.
+	crashes   int
+	crashedAt map[string]time.Duration
+	// reporter is the VM that reported the last crash, empty for this one.
+	reporter string
+	asked    bool
+	askedAt  time.Duration
+}
+
+// pendingCrash is a crash of this VM's requests and its time.
+type pendingCrash struct {
+	Crash
+	at time.Duration
+}
+
+// verdict is a Verdict with its times on this VM's clock.
+type verdict struct {
+	Verdict
+	until, trialAt time.Duration
+}
+
+func (v *verdict) export(now time.Duration) Verdict {
+	out := v.Verdict
+	out.Remaining, out.TrialIn = v.until-now, max(0, v.trialAt-now)
+	return out
+}
+
+// Core is the state of one VM. It is not safe for concurrent use; the times passed to it come from one monotonic clock.
+type Core struct {
+	name  string
+	judge bool
+
+	suspicions map[uint64]*suspicion
+	// answered is when the parts of recent requests were last answered.
+	answered answers
+	verdicts map[uint64]*verdict
+	// crashes and answeredParts are not reported yet.
+	crashes       []pendingCrash
+	answeredParts []uint64
+	// cleared are the parts of which a judge has heard an answer since the last tick.
+	cleared    []uint64
+	repeatedAt time.Duration
+	effects    Effects
+}
+
+// Option configures a Core.
+type Option func(*Core)
+
+// WithJudge makes the core pass verdicts on the reports of all VMs; it is for control VMs.
+func WithJudge() Option { return func(c *Core) { c.judge = true } }
+
+// New returns the core of the VM with a name.
+func New(name string, options ...Option) *Core {
+	c := &Core{name: name, suspicions: map[uint64]*suspicion{}, verdicts: map[uint64]*verdict{}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Admit reports whether a request with the given parts may be sent, and if not, how long the verdict on one of them lasts. A request
+// that is admitted on trial counts as this VM's trial of its part.
+func (c *Core) Admit(now time.Duration, parts []uint64) (remaining time.Duration, admitted bool) {
+	var trial *verdict
+	for _, part := range parts {
+		v := c.inForce(now, part)
+		switch {
+		case v == nil:
+		case v.Trial == c.name && now >= v.trialAt && trial == nil:
+			trial = v
+		default:
+			return v.until - now, false
+		}
+	}
+	if trial != nil {
+		trial.trialAt = now + trialTimeout
+	}
+	return 0, true
+}
+
+// Quarantined reports whether one of the parts is in quarantine, without a trial.
+func (c *Core) Quarantined(now time.Duration, parts []uint64) (remaining time.Duration, quarantined bool) {
+	for _, part := range parts {
+		if v := c.inForce(now, part); v != nil {
+			return v.until - now, true
+		}
+	}
+	return 0, false
+}
+
+// Count returns the number of parts in quarantine.
+func (c *Core) Count(now time.Duration) int {
+	count := 0
+	for part := range c.verdicts {
+		if c.inForce(now, part) != nil {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *Core) inForce(now time.Duration, part uint64) *verdict {
+	if v := c.verdicts[part]; v != nil && !v.Lifted && now < v.until {
+		return v
+	}
+	return nil
+}
+
+// Crashed records that an engine ended under a request of this VM.
+func (c *Core) Crashed(now time.Duration, crash Crash) {
+	if len(crash.Parts) == 0 {
+		return
+	}
+	c.crashes = append(c.crashes, pendingCrash{crash, now})
+	c.suspect(now, crash, "")
+}
+
+// Answered records a complete answer to a request of this VM.
+func (c *Core) Answered(now time.Duration, parts []uint64) {
+	for _, part := range parts {
+		c.answered.add(now, part)
+		if c.suspicions[part] != nil || c.inForce(now, part) != nil {
+			c.clear(now, part)
+			c.answeredParts = append(c.answeredParts, part)
+		}
+	}
+}
+
+// suspect records a crash; it counts once for each engine and part.
+func (c *Core) suspect(now time.Duration, crash Crash, reporter string) {
+	at := now - crash.Age
+	for _, part := range crash.Parts {
+		if v := c.inForce(now, part); v != nil {
+			c.failTrial(now, v)
+			continue
+		}
+		s := c.suspicions[part]
+		if s == nil {
+			if len(c.suspicions) >= maxSuspicions {
+				continue
+			}
+			s = &suspicion{first: at, last: at - minCrashInterval, crashedAt: map[string]time.Duration{}}
+			c.suspicions[part] = s
+		}
+		if before, known := s.crashedAt[crash.Upstream]; known && at-before < restartTime {
+			continue
+		}
+		if at-s.last < minCrashInterval && at-crash.Running <= s.last {
+			continue
+		}
+		s.crashedAt[crash.Upstream] = at
+		s.last, s.reporter = at, reporter
+		s.crashes++
+		c.consider(now, part, s)
+	}
+}
+
+// consider asks about a part, or passes a verdict, if enough engines have ended under it.
+func (c *Core) consider(now time.Duration, part uint64, s *suspicion) {
+	if c.judge && !s.asked && s.crashes >= judgeCrashes {
+		s.asked, s.askedAt = true, now
+		c.send(Everyone, Report{Suspects: []Suspect{{Part: part, Since: now - s.first}}})
+	}
+	if !c.judge && s.crashes >= ownCrashes {
+		c.condemn(now, part, s)
+	}
+}
+
+// condemn puts a part in quarantine.
+func (c *Core) condemn(now time.Duration, part uint64, s *suspicion) {
+	delete(c.suspicions, part)
+	generation := uint32(1)
+	if old := c.verdicts[part]; old != nil {
+		generation = old.Generation + 1
+	}
+	trial := s.reporter
+	if trial == "" {
+		trial = c.name
+	}
+	c.adopt(now, Verdict{Part: part, Generation: generation, Remaining: verdictLifetime, Trial: trial, TrialIn: trialDelay(generation)}, slices.Sorted(maps.Keys(s.crashedAt)))
+	c.send(c.audience(), Report{Verdicts: []Verdict{c.verdicts[part].export(now)}})
+}
+
+// audience is everyone for a judge, and the judges for other VMs.
+func (c *Core) audience() Audience {
+	if c.judge {
+		return Everyone
+	}
+	return Judges
+}
+
+// trialDelay returns the time from a verdict to its trial.
+func trialDelay(generation uint32) time.Duration {
+	return min(maxTrial, firstTrial<<min(2*(generation-1), 8))
+}
+
+// failTrial renews a verdict after a crash under a part in quarantine. Crashes of requests that were sent before the verdict don't
+// count, nor do those that several VMs report of one trial.
+func (c *Core) failTrial(now time.Duration, v *verdict) {
+	if !c.judge || now < v.trialAt {
+		return
+	}
+	c.adopt(now, Verdict{Part: v.Part, Generation: v.Generation + 1, Remaining: verdictLifetime, Trial: v.Trial, TrialIn: trialDelay(v.Generation + 1)}, nil)
+	c.send(Everyone, Report{Verdicts: []Verdict{c.verdicts[v.Part].export(now)}})
+}
+
+// clear ends a suspicion and lifts a verdict after an answer. A judge tells the VMs, which may suspect the part as well.
+func (c *Core) clear(now time.Duration, part uint64) {
+	if c.judge && c.suspicions[part] != nil {
+		c.cleared = append(c.cleared, part)
+	}
+	delete(c.suspicions, part)
+	v := c.inForce(now, part)
+	if v == nil {
+		return
+	}
+	lifted := v.export(now)
+	lifted.Lifted = true
+	c.adopt(now, lifted, nil)
+	c.send(c.audience(), Report{Verdicts: []Verdict{lifted}})
+}
+
+// adopt takes a verdict over if it is newer than the one known.
+func (c *Core) adopt(now time.Duration, received Verdict, upstreams []string) bool {
+	known := c.verdicts[received.Part]
+	if known != nil && received.Generation == known.Generation && received.Lifted == known.Lifted && received.Trial < known.Trial {
+		// Several judges passed the verdict; all VMs must name the same one for the trial.
+		known.Trial = received.Trial
+	}
+	if known != nil && (received.Generation < known.Generation || received.Generation == known.Generation && (known.Lifted || !received.Lifted)) {
+		return false
+	}
+	if known == nil && len(c.verdicts) >= maxVerdicts {
+		c.dropNextExpiry()
+	}
+	received.Remaining = min(received.Remaining, verdictLifetime)
+	c.verdicts[received.Part] = &verdict{Verdict: received, until: now + received.Remaining, trialAt: now + received.TrialIn}
+	delete(c.suspicions, received.Part)
+	c.effects.Notices = append(c.effects.Notices, Notice{Verdict: received, Upstreams: upstreams})
+	return true
+}
+
+func (c *Core) dropNextExpiry() {
+	var next *verdict
+	for _, v := range c.verdicts {
+		if next == nil || v.until < next.until {
+			next = v
+		}
+	}
+	delete(c.verdicts, next.Part)
+}
+
+// Receive applies a report of another VM.
+func (c *Core) Receive(now time.Duration, from string, r Report) {
+	for _, v := range r.Verdicts {
+		// A judge passes on what it hears from a VM; others hear it from the judges.
+		if c.adopt(now, v, nil) && c.judge {
+			c.send(Everyone, Report{Verdicts: []Verdict{v}})
+		}
+	}
+	for _, s := range r.Suspects {
+		if at, ok := c.answered.last(s.Part); ok && at >= now-s.Since {
+			c.answeredParts = append(c.answeredParts, s.Part)
+		}
+	}
+	for _, part := range r.Answered {
+		if c.judge {
+			c.clear(now, part)
+		}
+		delete(c.suspicions, part)
+	}
+	if !c.judge {
+		return
+	}
+	for _, crash := range r.Crashes {
+		c.suspect(now, crash, from)
+	}
+}
+
+// Tick drives what depends on time and returns the effects of all calls since the last one; call it every 10 to 100 ms.
+func (c *Core) Tick(now time.Duration) Effects {
+	c.expire(now)
+	c.report(now)
+	if len(c.cleared) > 0 {
+		c.send(Everyone, Report{Answered: c.cleared})
+		c.cleared = nil
+	}
+	c.repeat(now)
+	effects := c.effects
+	c.effects = Effects{}
+	return effects
+}
+
+// report sends the judges what this VM has seen since the last tick.
+func (c *Core) report(now time.Duration) {
+	if len(c.crashes)+len(c.answeredParts) == 0 {
+		return
+	}
+	r := Report{Answered: c.answeredParts}
+	for _, crash := range c.crashes {
+		crash.Age = now - crash.at
+		r.Crashes = append(r.Crashes, crash.Crash)
+	}
+	c.crashes, c.answeredParts = nil, nil
+	c.send(Judges, r)
+}
+
+// expire passes the verdicts that are due and drops what is outdated.
+func (c *Core) expire(now time.Duration) {
+	for part, s := range c.suspicions {
+		switch {
+		case s.asked && now-s.askedAt >= objectionTime:
+			c.condemn(now, part, s)
+		case now-s.last >= suspicionLifetime:
+			delete(c.suspicions, part)
+		}
+	}
+	for part, v := range c.verdicts {
+		if now >= v.until {
+			delete(c.verdicts, part)
+		}
+	}
+}
+
+// repeat sends the verdicts once more, for VMs that have restarted.
+func (c *Core) repeat(now time.Duration) {
+	interval := repeatToJudges
+	if c.judge {
+		interval = repeatToEveryone
+	}
+	if len(c.verdicts) == 0 || now-c.repeatedAt < interval {
+		return
+	}
+	c.repeatedAt = now
+	var r Report
+	for _, v := range c.verdicts {
+		r.Verdicts = append(r.Verdicts, v.export(now))
+	}
+	c.send(c.audience(), r)
+}
+
+func (c *Core) send(to Audience, r Report) {
+	c.effects.Outgoing = append(c.effects.Outgoing, Outgoing{To: to, Report: r})
+}
--- /dev/null
+++ b/relay/quarantine/report.go
@@ -0,0 +1,70 @@
+package quarantine
+
+import "time"
+
+// Crash reports that an engine's connection ended under requests with the given parts, which the engine had just begun to answer or
+// not yet.
+type Crash struct {
+	Upstream string
+	Parts    []uint64
+	// Age is the time since the crash, Running the time from the sending of the requests to the crash.
+	Age, Running time.Duration
+}
+
+// Suspect asks whether a part was answered since the first crash under it, which was Since ago.
+type Suspect struct {
+	Part  uint64
+	Since time.Duration
+}
+
+// Verdict puts a part in quarantine or lifts it. Of two verdicts on a part, that of the higher generation holds, and of two of one
+// generation the lifted one.
+type Verdict struct {
+	Part       uint64
+	Generation uint32
+	Lifted     bool
+	// Remaining is the time for which the verdict lasts.
+	Remaining time.Duration
+	// Trial is the VM that may send one request with the part after TrialIn.
+	Trial   string
+	TrialIn time.Duration
+}
+
+// Report is a message between VMs.
+type Report struct {
+	Crashes  []Crash
+	Suspects []Suspect
+	// Answered are parts under suspicion or on trial that an engine has answered.
+	Answered []uint64
+	Verdicts []Verdict
+}
+
+// Audience is the set of VMs that a report is sent to.
+type Audience uint8
+
+// The audiences.
+const (
+	// Judges are the control VMs other than the sender.
+	Judges Audience = iota
+	// Everyone are all VMs that the sender has sessions with.
+	Everyone
+)
+
+// Outgoing is a report to be sent.
+type Outgoing struct {
+	To     Audience
+	Report Report
+}
+
+// Notice is a change of what is in quarantine, for the log and the metrics.
+type Notice struct {
+	Verdict
+	// Upstreams are the engines that ended under the part, if this VM passed the verdict.
+	Upstreams []string
+}
+
+// Effects are the results of a step.
+type Effects struct {
+	Outgoing []Outgoing
+	Notices  []Notice
+}
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -137,9 +137,21 @@
 		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithHeartbeatSpacing(m.heartbeatSpacing), peer.WithLog(logger),
 	)
 	d.OnPlacement(m.broadcast)
+	d.OnQuarantine(dispatch.QuarantineSender(m.mesh, m.controls, logger))
 	return m
 }
 
+// controls returns the names of the other control VMs.
+func (m *peerMesh) controls() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := m.roster.GetControls()
+	if len(names) == 0 {
+		names = m.seeds
+	}
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == m.name })
+}
+
 // heartbeatSpacing spaces the heartbeats within a cell like its digests, so that their rate at a VM does not grow with the cell. Losing
 // a digest or two does little harm; control VMs must notice a silent session at once.
 func (m *peerMesh) heartbeatSpacing(name string) int {
@@ -170,6 +182,10 @@
 		applyCacheUpdate(m.dispatch, update)
 		return
 	}
+	if report := message.Body.GetQuarantine(); report != nil {
+		m.dispatch.ReceiveQuarantine(message.From, report)
+		return
+	}
 	if message.Body.GetNewsRequest() != nil {
 		m.onCacheRequest(message.From)
 		return
--- a/relay/vm/metrics.go
+++ b/relay/vm/metrics.go
@@ -97,7 +97,7 @@
 		"connections_dialled": pool.Dialled, "connections_reused": pool.Reused, "connections_stale": pool.Stale,
 		"answers_foreign": pool.Foreign, "answers_trailing": pool.Trailing, "goroutines": uint64(runtime.NumGoroutine()),
 		"peer_messages_sent": uint64(peers.Sent.Load()), "peer_messages_received": uint64(peers.Received.Load()), "peer_bytes": uint64(peers.Bytes.Load()),
-		"peer_messages_dropped": uint64(peers.Dropped.Load()),
+		"peer_messages_dropped": uint64(peers.Dropped.Load()), "parts_quarantined": uint64(c.mesh.dispatch.Quarantined()),
 	} {
 		lines = append(lines, fmt.Sprintf("%s %d", name, n))
 	}
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -20,6 +21,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/forward"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
@@ -49,13 +51,18 @@
 )
 
 func newDispatcher(s settings.Settings) *dispatch.Dispatcher {
-	return dispatch.New(routing.New(
+	var options []quarantine.Option
+	if s.Data != "" {
+		options = append(options, quarantine.WithJudge())
+	}
+	core := routing.New(
 		routing.WithLocation(s.Name, s.Centre, s.Region), routing.WithLinks(centreLink, regionLink), routing.WithSpan(routing.Everywhere),
 		routing.WithMaxQueued(s.Limits.Queue), routing.WithPrefill(28*time.Microsecond), routing.WithPolicy(routing.Policy(s.Routing.Policy)),
 		routing.WithImport(s.Routing.Import), routing.WithSalt(cacheSalt),
 		routing.WithTimes(func(t *routing.Times) { t.OutdatedAfter = s.Times.Weights - weightsMargin }),
 		routing.WithRandom(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))),
-	))
+	)
+	return dispatch.New(core, dispatch.WithQuarantine(quarantine.New(s.Name, options...)))
 }
 
 // placer chooses an upstream for each request: for engines by the routing core, for plain services by the balance core.
@@ -204,7 +211,7 @@
 	ticket, err := p.dispatch.Acquire(ctx, dispatch.Request{
 		ID: r.ID, Account: catalogue.Account{Name: r.Scope},
 		Assistant: catalogue.Assistant{Name: r.Route.Name, Model: modelKey(r.Service.Name, r.Metadata.Model)},
-		Levels:    r.Levels, Parts: r.PartHashes, TargetTTFT: r.Route.Target, PromptTokens: r.Metadata.PromptTokens, AnswerTokens: answerTokens, Idempotent: r.Route.Repeatable(),
+		Levels:    r.Levels, Parts: r.PartHashes, SharedParts: sharedParts(r.PartHashes), TargetTTFT: r.Route.Target, PromptTokens: r.Metadata.PromptTokens, AnswerTokens: answerTokens, Idempotent: r.Route.Repeatable(),
 		Deadline: deadline, Arrived: r.Arrived, FailedUpstreams: r.FailedUpstreams,
 	})
 	if err != nil {
@@ -236,16 +243,24 @@
 		Begin: func() { ticket.FirstToken(incarnation) },
 		Finish: func(h forward.AnswerMetadata) {
 			p.correctWeights(u, r, h)
-			ticket.Finish(incarnation, upstream.Counts{Prompt: r.Metadata.PromptTokens, Answer: answerTokens, Missing: true})
+			counts := upstream.Counts{Prompt: r.Metadata.PromptTokens, Answer: answerTokens, Missing: true}
+			if h.Status >= http.StatusInternalServerError {
+				ticket.FinishError(incarnation, counts)
+				return
+			}
+			ticket.Finish(incarnation, counts)
 		},
 		Fail: func(f forward.Failure) {
 			p.handleFailure(u, r, f)
-			ticket.Fail(dispatch.Failure{Sent: f.Sent, Received: f.Received, NotRun: f.NotRun})
+			ticket.Fail(dispatch.Failure{Sent: f.Sent, Received: f.Received, NotRun: f.NotRun, Ended: f.Ended})
 		},
 		Cancel: ticket.Cancel,
 	}, nil
 }
 
+// sharedParts returns the parts that other requests may have too: the last one belongs to the request or its session.
+func sharedParts(hashes []uint64) []uint64 { return hashes[:max(0, len(hashes)-1)] }
+
 // incarnationOf identifies an incarnation of an engine; it is 1 if its start time is unknown.
 func incarnationOf(u *directory.Upstream) uint64 {
 	if u.StartedAt.IsZero() {
