Keep the next upstream's error out of a stream that has begun

Cause: an answer with another status than 2xx went to forwardBuffered also when a first upstream's part of the stream had been sent; its body was written behind that part, and the handler returned as after a whole answer. Change: such an answer fails the attempt; the stream goes on at a third upstream if the route allows, else the connection is ended.

--- a/relay/forward/broken_answer_test.go
+++ b/relay/forward/broken_answer_test.go
@@ -116,3 +116,41 @@
 		}
 	})
 })
+
+var _ = Describe("a begun stream that breaks off", func() {
+	notRunHead := "HTTP/1.1 503 X\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+	errors := map[string]string{
+		"an error with a length":            "HTTP/1.1 500 X\r\nX-Id: 1\r\nX-Whole: 1\r\nContent-Length: 6\r\n\r\nfailed",
+		"an error in chunks":                "HTTP/1.1 500 X\r\nX-Id: 1\r\nX-Whole: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("failed") + "0\r\n\r\n",
+		"an error that ends by close":       "HTTP/1.1 500 X\r\nX-Id: 1\r\nX-Whole: 1\r\n\r\nfailed",
+		"an error without an ID":            "HTTP/1.1 502 X\r\nContent-Length: 6\r\n\r\nfailed",
+		"an error whose text is an event":   "HTTP/1.1 500 X\r\nX-Id: 1\r\nX-Whole: 1\r\nContent-Length: 22\r\n\r\nid: 9\ndata: failed\n\n ",
+		"a refusal that may have run":       "HTTP/1.1 429 X\r\nX-Id: 1\r\nX-Whole: 1\r\nContent-Length: 4\r\n\r\nbusy",
+		"a redirect":                        "HTTP/1.1 302 X\r\nX-Id: 1\r\nX-Whole: 1\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+		"a declared refusal":                notRunHead,
+		"an answer that is no event stream": "HTTP/1.1 200 X\r\nX-Id: 1\r\nX-Whole: 1\r\nContent-Length: 6\r\n\r\n{a: 1}",
+	}
+	for name, answer := range errors {
+		// Guards against the text of an error in the middle of a stream, and against a stream that an error ends as if it were complete.
+		It("holds nothing of, and is not ended by, the next upstream's answer if that is "+name, func() {
+			fake := &fakePlacer{list: []directory.Upstream{breakingOff(1, 2), sendingRaw(answer)}}
+			r, err := http.NewRequest(http.MethodPost, newFloodServer(fake).URL+"/note/", nil)
+			Expect(err).NotTo(HaveOccurred())
+			r.Host, r.Header = "h", http.Header{"X-Id": {"1"}, "X-Key": {"k"}}
+			response, err := http.DefaultClient.Do(r)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = response.Body.Close() }()
+			text, err := io.ReadAll(response.Body)
+			Expect(err).To(HaveOccurred())
+			Expect(string(text)).To(Equal(event(1) + event(2)))
+			Expect(fake.recordedEnds()).NotTo(ContainElement("finished"))
+		})
+	}
+
+	It("goes on at a third upstream after a second one that answers with an error", func() {
+		fake := &fakePlacer{list: []directory.Upstream{breakingOff(1), sendingRaw(errors["an error with a length"]), sendingRaw(upstreamFramings[connection.ByChunks](event(2)))}}
+		n, err := readAnswer(newFloodServer(fake), "/note/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(int64(len(event(1) + event(2)))))
+	})
+})
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -225,6 +226,14 @@
 		discardAnswer(answer)
 		return false, errNotRun
 	}
+	if s.begun && answer.Status >= http.StatusMultipleChoices {
+		// The caller has a part of the stream, in the middle of which no other answer may stand.
+		s.runs++
+		s.logAttempt(p, "upstream did not resume the stream", answer.Status, nil)
+		p.Fail(Failure{Sent: true, Received: true, Status: answer.Status, Metadata: answerMetadata})
+		discardAnswer(answer)
+		return false, fmt.Errorf("the upstream answered the resumption of a stream with status %d", answer.Status)
+	}
 	if s.route.Kind == route.Stream && answer.Status < http.StatusMultipleChoices {
 		return s.forwardStream(ctx, p, answer, answerMetadata, timer)
 	}
