Never take an earlier refusal, written once more, for the answer to a request

Callers would have been told 'not run' for requests that an upstream had run or was running (REFUSED), or such a request would have run at a second upstream (TWICE); other operators report it. Cause: an answer without an ID counted as the present request's if it was declared not run, also on a connection that had carried others; and a request that was sent to the same upstream once more, on a kept connection, took its own earlier refusal for the answer. Change: an answer without an ID belongs to a request only on a connection that carried no other; a request goes to an upstream that it was sent to before on a new connection.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -48,8 +48,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response's header belongs to this request; nil accepts every response.
-	Matches func(http.Header) bool
+	// Matches reports whether a response's header belongs to this request; nil accepts every response. reused reports that the
+	// connection has carried other requests, whose responses the upstream may write once more.
+	Matches func(h http.Header, reused bool) bool
 	// ForceNew forces a new connection instead of an idle one.
 	ForceNew bool
 }
@@ -182,7 +183,7 @@
 			}
 			continue
 		}
-		if r.Matches != nil && !r.Matches(response.Header) {
+		if r.Matches != nil && !r.Matches(response.Header, resp.Reused) {
 			if foreign++; foreign > maxForeignResponses {
 				return fmt.Errorf("received %d responses to other requests on one connection", foreign)
 			}
--- a/relay/connection/pool_test.go
+++ b/relay/connection/pool_test.go
@@ -89,7 +89,7 @@
 	}
 	return &connection.Request{
 		Method: method, Target: "/a/b?c=%20d", Host: "host.example", Header: http.Header{"X-Id": {id}}, Body: []byte(body),
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("X-Id") == id },
 	}
 }
 
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -39,6 +41,8 @@
 	placementRequest *PlacementRequest
 	body             []byte
 	target           string
+	// sentTo are the addresses of the attempts so far.
+	sentTo []netip.AddrPort
 	// sends counts the attempts of which a byte may have been sent, runs the attempts that may have run.
 	sends, runs int
 	// begun is set once the answer's header was sent to the caller.
@@ -207,12 +211,16 @@
 	defer timer.stop()
 	answer, err := s.f.pool.Do(ctx, p.Upstream.Address, &connection.Request{
 		Method: s.r.Method, Target: s.target, Host: s.r.Host, Header: header, Body: s.body,
-		// An answer without an ID matches if it is declared not run or does not carry the mark of an upstream's own answer.
-		Matches: func(h http.Header) bool {
+		// An answer without an ID matches if it is declared not run or does not carry the mark of an upstream's own answer, and if no
+		// other request can be meant.
+		Matches: func(h http.Header, reused bool) bool {
 			candidate := s.f.dialect.ReadAnswer(0, h)
-			return candidate.ID == id || candidate.ID == "" && (candidate.NotRun || !candidate.FromUpstream)
+			return candidate.ID == id || !reused && candidate.ID == "" && (candidate.NotRun || !candidate.FromUpstream)
 		},
+		// An answer to an earlier attempt, which has the same ID, can't come on a new connection.
+		ForceNew: slices.Contains(s.sentTo, p.Upstream.Address),
 	})
+	s.sentTo = append(s.sentTo, p.Upstream.Address)
 	if err != nil {
 		return s.attemptFailed(ctx, p, err, Failure{}), err
 	}
