Never take an earlier response of an engine or service for that of another request in the daemon

Callers of the daemon could have been told 'not run' of a text request that an engine ran, or given another caller's answer to an idempotent call, if an upstream wrote an earlier response once more on a kept connection. Cause: http.Transport takes the next response on a connection for that of the request it has just written; neither refusals nor the answers of services say whom they belong to. Change: a refusal says 'not run' only if it bears the request's ID, which the stand-in engines now return and docs/design.md asks for; idempotent calls get connections of their own, as bookings have. The test of an endless header asked for net/http's words and now asks for our error, as its non-idempotent twin does.

--- a/relay/upstream/limit_test.go
+++ b/relay/upstream/limit_test.go
@@ -63,7 +63,7 @@
 
 	It("ends an idempotent call at the limit of the headers", func() {
 		_, err := upstream.New().CallIdempotent(context.Background(), pouring(header, noise), call, 1024)
-		Expect(err).To(MatchError(ContainSubstring("exceeded")))
+		Expect(err).To(MatchError(upstream.ErrResponseTooLarge))
 	})
 
 	It("ends an order at the limit of the headers", func() {
--- a/relay/upstream/order.go
+++ b/relay/upstream/order.go
@@ -70,7 +70,8 @@
 		return err
 	}
 	if response.StatusCode != http.StatusOK {
-		return readRefusal(response)
+		// An order has a connection of its own.
+		return readRefusal(response, "")
 	}
 	return response.Body.Close()
 }
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -76,23 +76,21 @@
 // Close closes a connection on which no call was made.
 func (c *Connection) Close() { _ = c.conn.Close() }
 
-// CallIdempotent makes a call over a pooled connection. The caller may retry it after an error, since the call is idempotent.
+// CallIdempotent makes a call, which the caller may retry after an error, since the call is idempotent. Like any call it has a
+// connection of its own: services don't say which call a response belongs to, so that a late copy of another one's could be taken for
+// it on a connection that is kept.
 func (c *Client) CallIdempotent(ctx context.Context, address netip.AddrPort, call ServiceCall, limit int64) (ServiceResponse, error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, c.readTimeout, ErrTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address.String()+call.Path, bytes.NewReader(call.Body))
+	connection, err := c.Dial(ctx, address)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
-	request.Header = call.Header
-	response, err := c.transport(address).RoundTrip(request)
-	if err != nil {
-		if context.Cause(ctx) != nil {
-			c.CloseIdle(address)
-		}
-		return ServiceResponse{}, err
+	response, err := connection.Call(ctx, call, limit)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
 	}
-	return c.readResponse(address, response, limit)
+	return response, err
 }
 
 func (c *Client) readResponse(address netip.AddrPort, response *http.Response, limit int64) (ServiceResponse, error) {
--- a/relay/upstream/stream.go
+++ b/relay/upstream/stream.go
@@ -75,7 +75,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		defer watch.stop()
-		return nil, readRefusal(response)
+		return nil, readRefusal(response, call.Request)
 	}
 	// 0 stands for an engine that reports no incarnation: its crashes go unnoticed, so no knowledge of its cache may be retained.
 	incarnation, _ := strconv.ParseUint(response.Header.Get("X-Incarnation"), 10, 64)
@@ -98,11 +98,14 @@
 	}
 }
 
-func readRefusal(response *http.Response) error {
+// readRefusal reads a response with an error status. Only one that bears the request's ID shows that this request was not run: on a
+// kept connection an engine may write the refusal of another one once more.
+func readRefusal(response *http.Response, request string) error {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	_ = response.Body.Close()
 	leaving := isLeavingRefusal(response.StatusCode, text)
-	return &RefusedError{Status: response.StatusCode, Leaving: leaving, NotRun: leaving || isNotRunRefusal(response.StatusCode, text), Body: string(text)}
+	own := response.Header.Get("X-Request-Id") == request
+	return &RefusedError{Status: response.StatusCode, Leaving: leaving, NotRun: own && (leaving || isNotRunRefusal(response.StatusCode, text)), Body: string(text)}
 }
 
 // isLeavingRefusal reports whether a response is the refusal of a leaving upstream.
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -93,6 +93,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.blockIfSilent(r.Context())
 		s.runner.clock.Sleep(s.delay, r.Context().Done())
+		if id := r.Header.Get("X-Request-Id"); id != "" {
+			w.Header().Set("X-Request-Id", id)
+		}
 		s.runner.withEngine(func(_ time.Duration, e *engine.Engine) {
 			w.Header().Set("X-Incarnation", strconv.FormatUint(e.Incarnation(), 10))
 		})
