Heed what upstreams say of themselves in any answer: that they leave, or want nothing for a while

A replica that leaves says so in all its answers, and one that refuses may add Retry-After. Neither was read: work went to a leaving replica until the list showed it, and a refused request's VM came back at once. Change: the pool of connections, through which every request and every call of a VM's own goes, passes on the header of each response and asks before each request, also after a dial. Placement leaves such upstreams out, and refuses at once with the earliest end, spread, if none is left. Counters, a gauge and log lines tell of both.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -53,6 +53,8 @@
 	Matches func(h http.Header, reused bool) bool
 	// ForceNew forces a new connection instead of an idle one.
 	ForceNew bool
+	// Upstream is the ID of the upstream that is meant, for the functions of WithPermit and WithObserver; empty for other receivers.
+	Upstream string
 }
 
 // Response is an upstream's response; Read returns its body.
@@ -102,10 +104,18 @@
 // Do sends a request once and returns when the response's header has arrived. After an error other than *NotSentError the
 // request may have run. Cancelling the context closes the connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r *Request) (*Response, error) {
+	if err := p.permitted(r); err != nil {
+		return nil, err
+	}
 	c, err := p.getConn(ctx, address, r.ForceNew)
 	if err != nil {
 		return nil, err
 	}
+	// A dial takes a while, in which the upstream may have asked for no requests.
+	if err := p.permitted(r); err != nil {
+		p.putIdle(c, 0)
+		return nil, err
+	}
 	if err := ctx.Err(); err != nil {
 		p.putIdle(c, 0)
 		return nil, &NotSentError{Cause: err}
@@ -196,6 +206,9 @@
 		resp.reuse = !response.Close
 		resp.Framing = framingOf(response)
 		resp.idleTimeout = keepAliveTimeout(response.Header)
+		if r.Upstream != "" {
+			resp.pooledConn.pool.observe(r.Upstream, resp.Status, resp.Header)
+		}
 		return nil
 	}
 }
--- a/relay/connection/pool.go
+++ b/relay/connection/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,9 @@
 type Pool struct {
 	dial func(context.Context, netip.AddrPort) (net.Conn, error)
 	now  func() time.Time
+	// permit and observe are the functions of WithPermit and WithObserver.
+	permit  func(upstream string) error
+	observe func(upstream string, status int, header http.Header)
 
 	mu           sync.Mutex
 	idle         map[netip.AddrPort][]*pooledConn
@@ -54,9 +58,21 @@
 // WithNow replaces time.Now.
 func WithNow(now func() time.Time) Option { return func(p *Pool) { p.now = now } }
 
+// WithPermit sets a function that is asked before each request to an upstream whether it may be sent; its error is returned in a
+// NotSentError.
+func WithPermit(permit func(upstream string) error) Option {
+	return func(p *Pool) { p.permit = permit }
+}
+
+// WithObserver sets a function that is called with the status and header of each response of an upstream.
+func WithObserver(observe func(upstream string, status int, header http.Header)) Option {
+	return func(p *Pool) { p.observe = observe }
+}
+
 // NewPool returns a pool without connections.
 func NewPool(options ...Option) *Pool {
 	p := &Pool{dial: dialTCP, now: time.Now, idle: map[netip.AddrPort][]*pooledConn{}, open: map[netip.AddrPort]int{}, lastReceived: map[netip.AddrPort]*atomic.Int64{}}
+	p.permit, p.observe = func(string) error { return nil }, func(string, int, http.Header) {}
 	for _, option := range options {
 		option(p)
 	}
@@ -73,6 +89,17 @@
 	return conn, nil
 }
 
+// permitted returns a NotSentError if a request may not be sent to its upstream now.
+func (p *Pool) permitted(r *Request) error {
+	if r.Upstream == "" {
+		return nil
+	}
+	if err := p.permit(r.Upstream); err != nil {
+		return &NotSentError{Cause: err}
+	}
+	return nil
+}
+
 // Counters returns a copy of the pool's counters.
 func (p *Pool) Counters() Counters {
 	p.mu.Lock()
--- a/relay/connection/pool_test.go
+++ b/relay/connection/pool_test.go
@@ -252,3 +252,56 @@
 		Expect(pool.Open(s.address())).To(BeZero())
 	})
 })
+
+var _ = Describe("requests to an upstream that wants none", func() {
+	held := errors.New("held")
+
+	It("are not sent, on a kept or a new connection, nor if that became known during the dial", func() {
+		var blocked atomic.Bool
+		s := startUpstream(echo)
+		pool := connection.NewPool(
+			connection.WithPermit(func(upstream string) error {
+				if upstream == "u" && blocked.Load() {
+					return held
+				}
+				return nil
+			}),
+			connection.WithDial(func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+				blocked.Store(s.accepted.Load() > 0)
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+			}),
+		)
+		DeferCleanup(pool.Close)
+		expectBody(pool, s, "1")
+		for _, forceNew := range []bool{true, false} {
+			r := newRequest("2", "")
+			r.Upstream, r.ForceNew = "u", forceNew
+			_, err := send(pool, s, r)
+			var notSent *connection.NotSentError
+			Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
+			Expect(errors.Is(err, held)).To(BeTrue())
+		}
+		Expect(s.requests.Load()).To(Equal(int32(1)))
+		expectBody(pool, s, "3")
+	})
+
+	It("are made known by the status and header of each of its responses", func() {
+		var seen []string
+		pool := connection.NewPool(connection.WithObserver(func(upstream string, status int, h http.Header) {
+			seen = append(seen, fmt.Sprint(upstream, " ", status, " ", h.Get("X-Id")))
+		}))
+		DeferCleanup(pool.Close)
+		s := startUpstream(func(p *serverConn) {
+			p.readRequest()
+			p.respond("late", "of another")
+			p.respond("1", "body of 1")
+			echo(p)
+		})
+		r := newRequest("1", "")
+		r.Upstream = "u"
+		_, err := send(pool, s, r)
+		Expect(err).NotTo(HaveOccurred())
+		expectBody(pool, s, "2")
+		Expect(seen).To(Equal([]string{"u 200 1"}))
+	})
+})
--- a/relay/directory/directory_test.go
+++ b/relay/directory/directory_test.go
@@ -79,3 +79,53 @@
 		Expect(directory.Decode(board)).To(BeEmpty())
 	})
 })
+
+var _ = Describe("an upstream that has announced that it leaves", func() {
+	leaves := func(d *directory.Directory, now time.Duration) bool {
+		GinkgoHelper()
+		return singleUpstream(d, now).Leaving
+	}
+
+	It("is leaving until another incarnation is listed, however long the list shows it as ready", func() {
+		d := directory.New()
+		d.SetList([]directory.Upstream{engine("e", 1)})
+		Expect(d.AddDeparture(0, "e")).To(BeTrue())
+		Expect(d.AddDeparture(time.Second, "e")).To(BeFalse())
+		Expect(leaves(d, time.Hour)).To(BeTrue())
+		d.SetList(nil)
+		Expect(d.Upstreams(time.Hour + time.Second)).To(BeEmpty())
+		d.SetList([]directory.Upstream{engine("e", 1)})
+		Expect(leaves(d, time.Hour+time.Minute)).To(BeTrue())
+		again := engine("e", 1)
+		again.StartedAt = incarnationStart.Add(time.Minute)
+		d.SetList([]directory.Upstream{again})
+		Expect(leaves(d, time.Hour+2*time.Minute)).To(BeFalse())
+		Expect(leaves(d, time.Hour+3*time.Minute)).To(BeFalse())
+	})
+
+	It("counts as another incarnation after a while off the list if its start is unknown", func() {
+		unknown := engine("e", 1)
+		unknown.StartedAt = time.Time{}
+		d := directory.New()
+		d.SetList([]directory.Upstream{unknown})
+		d.AddDeparture(0, "e")
+		Expect(leaves(d, time.Minute)).To(BeTrue())
+		d.SetList(nil)
+		d.Upstreams(time.Minute)
+		d.SetList([]directory.Upstream{unknown})
+		Expect(leaves(d, time.Minute+5*time.Second)).To(BeTrue())
+		d.SetList(nil)
+		d.Upstreams(2 * time.Minute)
+		d.SetList([]directory.Upstream{unknown})
+		Expect(leaves(d, 2*time.Minute+11*time.Second)).To(BeFalse())
+	})
+
+	It("is forgotten some time after it has left the list", func() {
+		d := directory.New()
+		for i := range 100 {
+			d.AddDeparture(0, string(rune('a'+i)))
+		}
+		d.Upstreams(11 * time.Minute)
+		Expect(d.AddDeparture(12*time.Minute, "a")).To(BeTrue())
+	})
+})
--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -304,7 +304,7 @@
 	if !errors.As(err, &refusal) {
 		refusal = outcome.Refuse(outcome.NoUpstream, "no upstream accepts the request now; retry after the time in Retry-After").WithCause(err)
 	}
-	s.refuse(refusal, max(refusal.RetryAfter, s.retryAfter()))
+	s.refuse(refusal, refusal.RetryAfter+s.retryAfter())
 }
 
 // endCancelled ends a request whose deadline has passed or whose caller has disconnected; in the latter case it panics with
--- a/relay/forward/dialect.go
+++ b/relay/forward/dialect.go
@@ -67,6 +67,9 @@
 	Load     *LoadReport
 	// Weights is the weights version that produced the answer; 0 if it is not given.
 	Weights uint64
+	// Leaving reports that the upstream is about to stop, RetryAfter that it wants nothing from this VM for so long.
+	Leaving    bool
+	RetryAfter time.Duration
 	// FromUpstream reports whether the answer carries the header field that marks an upstream's own answer.
 	FromUpstream bool
 }
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -17,6 +17,7 @@
 
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/pause"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 )
@@ -210,7 +211,7 @@
 	timer := s.newStallTimer(cancel, p)
 	defer timer.stop()
 	answer, err := s.f.pool.Do(ctx, p.Upstream.Address, &connection.Request{
-		Method: s.r.Method, Target: s.target, Host: s.r.Host, Header: header, Body: s.body,
+		Upstream: p.Upstream.ID, Method: s.r.Method, Target: s.target, Host: s.r.Host, Header: header, Body: s.body,
 		// An answer without an ID matches if it is declared not run or does not carry the mark of an upstream's own answer, and if no
 		// other request can be meant.
 		Matches: func(h http.Header, reused bool) bool {
@@ -254,10 +255,12 @@
 // attemptFailed ends an attempt whose connection failed or that was cancelled. It returns false if another attempt may be made.
 func (s *session) attemptFailed(ctx context.Context, p *Placement, err error, f Failure) bool {
 	var notSent *connection.NotSentError
+	var paused *pause.Error
 	cause := context.Cause(ctx)
 	switch {
 	case errors.As(err, &notSent):
 		s.sends--
+		f.NotRun = errors.As(err, &paused)
 	default:
 		f.Sent = true
 		s.runs++
--- a/relay/vm/metrics.go
+++ b/relay/vm/metrics.go
@@ -19,6 +19,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/pause"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
 
@@ -32,9 +33,10 @@
 
 // counters collects the counts and latency histograms of a VM.
 type counters struct {
-	pool *connection.Pool
-	host *control.Host
-	mesh *peerMesh
+	pool   *connection.Pool
+	pauses *pause.Registry
+	host   *control.Host
+	mesh   *peerMesh
 
 	mu           sync.Mutex
 	counts       map[string]uint64
@@ -42,9 +44,9 @@
 	totalTime    map[string]*hdrhistogram.Histogram
 }
 
-func newCounters(pool *connection.Pool, host *control.Host, m *peerMesh) *counters {
+func newCounters(pool *connection.Pool, pauses *pause.Registry, host *control.Host, m *peerMesh) *counters {
 	return &counters{
-		pool: pool, host: host, mesh: m, counts: map[string]uint64{}, timeToAnswer: map[string]*hdrhistogram.Histogram{}, totalTime: map[string]*hdrhistogram.Histogram{},
+		pool: pool, pauses: pauses, host: host, mesh: m, counts: map[string]uint64{}, timeToAnswer: map[string]*hdrhistogram.Histogram{}, totalTime: map[string]*hdrhistogram.Histogram{},
 	}
 }
 
@@ -90,11 +92,11 @@
 		}
 	}
 	c.mu.Unlock()
-	pool := c.pool.Counters()
+	pool, pauses := c.pool.Counters(), c.pauses.Counts()
 	view := c.host.View()
 	peers := c.mesh.mesh.Counters()
 	for name, n := range map[string]uint64{
-		"connections_dialled": pool.Dialled, "connections_reused": pool.Reused, "connections_stale": pool.Stale,
+		"upstreams_paused": uint64(c.pauses.Paused()), "upstream_pauses": pauses.Pauses, "requests_held": pauses.Held, "connections_dialled": pool.Dialled, "connections_reused": pool.Reused, "connections_stale": pool.Stale,
 		"answers_foreign": pool.Foreign, "answers_trailing": pool.Trailing, "goroutines": uint64(runtime.NumGoroutine()),
 		"peer_messages_sent": uint64(peers.Sent.Load()), "peer_messages_received": uint64(peers.Received.Load()), "peer_bytes": uint64(peers.Bytes.Load()),
 		"peer_messages_dropped": uint64(peers.Dropped.Load()), "parts_quarantined": uint64(c.mesh.dispatch.Quarantined()),
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +22,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/forward"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/pause"
 	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
@@ -70,6 +72,7 @@
 	settings settings.Settings
 	state    *state
 	dispatch *dispatch.Dispatcher
+	pauses   *pause.Registry
 	log      log.Interface
 
 	mu          sync.Mutex
@@ -78,12 +81,13 @@
 	configureMu sync.Mutex
 }
 
-func newPlacer(s settings.Settings, st *state, d *dispatch.Dispatcher, logger log.Interface) *placer {
+func newPlacer(s settings.Settings, st *state, d *dispatch.Dispatcher, pauses *pause.Registry, logger log.Interface) *placer {
 	p := &placer{
-		settings: s, state: st, dispatch: d, log: logger,
+		settings: s, state: st, dispatch: d, pauses: pauses, log: logger,
 		balance: balance.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 2))),
 	}
 	st.onChange = p.configure
+	pauses.OnChange(p.configure)
 	return p
 }
 
@@ -107,7 +111,7 @@
 		}
 		for _, model := range u.Models {
 			state := catalogue.Active
-			if !u.Serves() {
+			if !u.Serves() || !p.pauses.Until(u.ID).IsZero() {
 				state = catalogue.Draining
 			}
 			engines = append(engines, catalogue.Upstream{
@@ -186,10 +190,16 @@
 	if r.Service == nil {
 		return nil, outcome.Refuse(outcome.NoUpstream, "the route's service is not known")
 	}
+	place := p.placeOnService
 	if r.Service.Engine != nil && r.Metadata.Model != "" {
-		return p.placeOnEngine(ctx, r)
+		place = p.placeOnEngine
 	}
-	return p.placeOnService(r)
+	placement, err := place(ctx, r)
+	var refusal *outcome.Refusal
+	if errors.As(err, &refusal) && refusal.Kind == outcome.NoUpstream {
+		err = refusal.WithRetryAfter(earliestEnd(p.state.list.Load().Service(r.Service.Name), p.pauses))
+	}
+	return placement, err
 }
 
 // startTimeout returns the time after arrival at which callers abandon a stream that has not begun.
@@ -319,11 +329,11 @@
 }
 
 // placeOnService places a request on a replica of a plain service.
-func (p *placer) placeOnService(r *forward.PlacementRequest) (*forward.Placement, error) {
+func (p *placer) placeOnService(_ context.Context, r *forward.PlacementRequest) (*forward.Placement, error) {
 	list := p.state.list.Load()
 	var candidates []balance.Candidate
 	for _, u := range list.Service(r.Service.Name) {
-		if u.Leaving {
+		if u.Leaving || !p.pauses.Until(u.ID).IsZero() {
 			continue
 		}
 		candidates = append(candidates, balance.Candidate{ID: u.ID, Link: p.linkCost(u), Slots: u.Slots})
--- a/relay/vm/run.go
+++ b/relay/vm/run.go
@@ -49,7 +49,7 @@
 	v.app = fx.New(
 		fx.Supply(s, settingsFile(path), adapter, fx.Annotate(v.log, fx.As(new(log.Interface)))),
 		fx.Provide(
-			newPool, newBudget, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newForwarder, newCounters, newOrderSender, newOperators,
+			newPauses, newPool, newBudget, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newForwarder, newCounters, newOrderSender, newOperators,
 		),
 		fx.Invoke(runControl, runPool, runWatch, runCacheWatcher, runOrderSender, runOperators, runMetrics, runReload, runCallers),
 		fx.Invoke(func(f failureWatcher, stop fx.Shutdowner) { f.watch(v.failed, stop) }),
@@ -91,8 +91,6 @@
 	return v.Stop()
 }
 
-func newPool() *connection.Pool { return connection.NewPool() }
-
 // runPool closes unused connections at an interval.
 func runPool(lifecycle fx.Lifecycle, pool *connection.Pool) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -75,6 +75,16 @@
 	s.mu.Unlock()
 }
 
+// addDeparture records that an upstream has announced that it leaves.
+func (s *state) addDeparture(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directory.AddDeparture(s.now(), id) {
+		s.log.WithField("upstream", id).Info("upstream leaves")
+		s.publish("its own answer")
+	}
+}
+
 // publish stores the merged list for traffic if it has changed; the caller holds the lock.
 func (s *state) publish(source string) {
 	upstreams := s.directory.Upstreams(s.now())
