Heed Server-Leaving and Retry-After in the daemon on every path, and let the stand-ins play them

Change: upstream.Client reads both from the header of each response and asks before each request: text requests, calls, bookings, load reports, orders, KV cache transfers. The routing core leaves a paused engine out. Stand-in engines and services announce that they leave in every answer, refuse with Retry-After, and engines crash on a text and send streams without a frame.

--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -264,6 +264,9 @@
 		if failure.Ended {
 			t.recordCrash(now)
 		}
+		if failure.Pause > 0 {
+			d.step(now, routing.Pause{Upstream: t.Upstream.Name, For: failure.Pause})
+		}
 		if failure.Leaving {
 			d.step(now, routing.Leaving{Upstream: t.Upstream.Name, Leaving: true})
 		}
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -76,6 +76,8 @@
 	Ended bool
 	// Leaving is set if the upstream reported that it is leaving.
 	Leaving bool
+	// Pause is the time for which the upstream wants no requests; 0 for none.
+	Pause time.Duration
 	// NotRun is set if the upstream reported that it did not run the request. Unless Received is set, the failure neither counts
 	// as a crash nor is a retry withdrawn from the budget.
 	NotRun bool
--- a/relay/gateway/booker.go
+++ b/relay/gateway/booker.go
@@ -142,7 +142,7 @@
 
 func (b *Booker) attempt(ctx context.Context, call Booking, deadline time.Time, knownSequence uint64) (Answer, error) {
 	configuration := b.configuration()
-	replicas := notLeaving(b.client, Replicas(configuration.Catalogue, call.Service, call.Regions, call.Key))
+	replicas := accepting(b.client, Replicas(configuration.Catalogue, call.Service, call.Regions, call.Key))
 	e := &execution{
 		booker: b, call: call, replicas: replicas,
 		events: make(chan booking.Event, 8), answers: make(chan booking.Effect, 1), cancel: func() {},
--- a/relay/gateway/service.go
+++ b/relay/gateway/service.go
@@ -83,7 +83,7 @@
 
 // callIdempotent makes an idempotent call and retries it at the other replicas after a failure.
 func (g *Gateway) callIdempotent(w http.ResponseWriter, r *http.Request, info requestInfo, rule catalogue.Rule, call upstream.ServiceCall) {
-	replicas := notLeaving(g.client, Replicas(info.catalogue, rule.Service, commonRegions(rule.Regions, info.account.Regions), info.id))
+	replicas := accepting(g.client, Replicas(info.catalogue, rule.Service, commonRegions(rule.Regions, info.account.Regions), info.id))
 	if len(replicas) == 0 {
 		g.refuse(w, info, outcome.Refuse(outcome.NoUpstream, "no replica of the service accepts calls now; try again after the time in Retry-After"))
 		return
@@ -168,9 +168,9 @@
 	return common
 }
 
-// notLeaving returns the replicas that are not leaving according to the platform's list or their own load reports.
-func notLeaving(client *upstream.Client, replicas []catalogue.Upstream) []catalogue.Upstream {
-	return slices.DeleteFunc(slices.Clone(replicas), func(u catalogue.Upstream) bool { return client.Leaving(u.Address) })
+// accepting returns the replicas that are neither leaving, according to the platform's list or what they say of themselves, nor paused.
+func accepting(client *upstream.Client, replicas []catalogue.Upstream) []catalogue.Upstream {
+	return slices.DeleteFunc(slices.Clone(replicas), func(u catalogue.Upstream) bool { return !client.Accepts(u.Address) })
 }
 
 // Replicas returns the active replicas of a service in the given regions, rotated by the hash of hashKey, a request ID or an
--- a/relay/pause/registry.go
+++ b/relay/pause/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -12,6 +14,15 @@
 // maxUpstreams bounds the memory of a registry. Beyond it the pause that ends first is dropped.
 const maxUpstreams = 10_000
 
+// ParseSeconds returns the duration of a Retry-After in seconds, at most MaxDuration; a date or any other text is 0, no pause.
+func ParseSeconds(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, MaxDuration.Seconds()) * float64(time.Second))
+}
+
 // Error is the error of a request that was not sent because its upstream wants none until then.
 type Error struct {
 	Upstream string
--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -140,6 +140,12 @@
 	c.dispatchQueue(now, effects)
 }
 
+func (m Pause) apply(c *Core, now time.Duration, _ *Effects) {
+	if u, ok := c.byName[m.Upstream]; ok {
+		u.pausedUntil = max(u.pausedUntil, now+m.For)
+	}
+}
+
 func (m CacheEvents) apply(c *Core, now time.Duration, effects *Effects) {
 	if u, ok := c.byName[m.Upstream]; ok && !c.cache.ApplyEvents(now, u.handle, m.Incarnation, m.Events) {
 		effects.Resync = append(effects.Resync, m.Upstream)
--- a/relay/routing/explain.go
+++ b/relay/routing/explain.go
@@ -56,6 +56,8 @@
 		return "region"
 	case now < u.ejectedUntil:
 		return "failed"
+	case now < u.pausedUntil:
+		return "paused"
 	case !c.allowed(now, u, p):
 		return "excluded"
 	}
--- a/relay/routing/messages.go
+++ b/relay/routing/messages.go
@@ -73,6 +73,12 @@
 	Leaving  bool
 }
 
+// Pause reports that an upstream wants no requests from this VM for a while.
+type Pause struct {
+	Upstream string
+	For      time.Duration
+}
+
 // CacheEvents is a section of an engine's event stream.
 type CacheEvents struct {
 	Upstream    string
--- a/relay/routing/upstream.go
+++ b/relay/routing/upstream.go
@@ -56,9 +56,11 @@
 	link     *linkCost
 	// seed is the hash of the name, for rendezvous hashing.
 	seed uint64
-	// draining reports that the upstream gets no new requests; ejectedUntil is the end of its ejection after failures.
+	// draining reports that the upstream gets no new requests; ejectedUntil is the end of its ejection after failures, pausedUntil of
+	// the time for which it asked for none.
 	draining     bool
 	ejectedUntil time.Duration
+	pausedUntil  time.Duration
 	// awaiting are the attempts without a first token, oldest first.
 	awaiting []*attempt
 
--- a/relay/upstream/client.go
+++ b/relay/upstream/client.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/pause"
 )
 
 // maxIdlePerUpstream limits the idle connections per upstream.
@@ -24,6 +26,9 @@
 	// dialTimeout limits a dial, and the whole fetch of a load report or of the platform's list.
 	dialTimeout time.Duration
 
+	// pauses are the upstreams that want nothing for a while, by address.
+	pauses *pause.Registry
+
 	mu         sync.Mutex
 	transports map[netip.AddrPort]*http.Transport
 	// listedLeaving and reportedLeaving are the leaving upstreams by the platform's list and by the upstreams' own responses.
@@ -47,7 +52,7 @@
 func New(options ...Option) *Client {
 	c := &Client{
 		headerTimeout: 30 * time.Second, readTimeout: 10 * time.Second, dialTimeout: 2 * time.Second,
-		transports: map[netip.AddrPort]*http.Transport{}, reportedLeaving: map[netip.AddrPort]bool{},
+		pauses: pause.New(), transports: map[netip.AddrPort]*http.Transport{}, reportedLeaving: map[netip.AddrPort]bool{},
 	}
 	for _, option := range options {
 		option(c)
@@ -92,6 +97,40 @@
 	return c.listedLeaving[address] || c.reportedLeaving[address]
 }
 
+// Accepts reports whether an upstream is neither leaving nor paused.
+func (c *Client) Accepts(address netip.AddrPort) bool {
+	return !c.Leaving(address) && c.pauses.Until(address.String()).IsZero()
+}
+
+// PausedUntil returns the end of an upstream's pause, or the zero time.
+func (c *Client) PausedUntil(address netip.AddrPort) time.Time {
+	return c.pauses.Until(address.String())
+}
+
+// permit returns ErrNotSent if an upstream wants nothing now. Each request asks it before it is sent.
+func (c *Client) permit(address netip.AddrPort) error {
+	if err := c.pauses.Permit(address.String()); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return nil
+}
+
+// Header fields by which an upstream speaks of itself in any response.
+const (
+	leavingHeader    = "Server-Leaving"
+	retryAfterHeader = "Retry-After"
+)
+
+// observe records what the header of a response says of its upstream: that it leaves, or wants nothing for a while.
+func (c *Client) observe(address netip.AddrPort, response *http.Response) {
+	if response.Header.Get(leavingHeader) == "1" {
+		c.setLeaving(address, true)
+	}
+	if values := response.Header[retryAfterHeader]; response.StatusCode == http.StatusServiceUnavailable && len(values) == 1 {
+		c.pauses.Pause(address.String(), pause.ParseSeconds(values[0]))
+	}
+}
+
 func (c *Client) setLeaving(address netip.AddrPort, leaving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relay/upstream/load.go
+++ b/relay/upstream/load.go
@@ -48,8 +48,12 @@
 // Load fetches an upstream's load report and records whether the upstream is leaving.
 func (c *Client) Load(ctx context.Context, address netip.AddrPort) (LoadReport, error) {
 	var load LoadReport
-	err := c.get(ctx, address, "/load", &load)
+	if err := c.permit(address); err != nil {
+		return load, err
+	}
+	header, err := c.get(ctx, address, "/load", &load)
 	if err == nil {
+		load.Leaving = load.Leaving || header.Get(leavingHeader) == "1"
 		c.setLeaving(address, load.Leaving)
 	}
 	return load, err
@@ -58,7 +62,7 @@
 // List fetches the platform's list of live and leaving VMs and records which are leaving.
 func (c *Client) List(ctx context.Context, address netip.AddrPort) ([]Member, error) {
 	var members []Member
-	if err := c.get(ctx, address, "/list", &members); err != nil {
+	if _, err := c.get(ctx, address, "/list", &members); err != nil {
 		return nil, err
 	}
 	leaving := map[netip.AddrPort]bool{}
@@ -71,12 +75,13 @@
 	return members, nil
 }
 
-func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, into any) error {
+// get reads a JSON document and returns the header of its response.
+func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, into any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	response, err := c.transport(address).RoundTrip(request)
 	if err != nil {
@@ -84,13 +89,14 @@
 			// If this connection timed out, the idle connections to the upstream may be broken too.
 			c.CloseIdle(address)
 		}
-		return oops.With("address", address).Wrapf(err, "read %s", path)
+		return nil, oops.With("address", address).Wrapf(err, "read %s", path)
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.observe(address, response)
 	if response.StatusCode != http.StatusOK {
-		return oops.With("address", address).Errorf("read %s: status %d", path, response.StatusCode)
+		return nil, oops.With("address", address).Errorf("read %s: status %d", path, response.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(into)
+	return response.Header, json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(into)
 }
 
 // Poll calls read immediately and then at each interval until the context is done.
--- a/relay/upstream/order.go
+++ b/relay/upstream/order.go
@@ -36,6 +36,9 @@
 func (c *Client) Order(ctx context.Context, address netip.AddrPort, order Order, limit time.Duration, permitted func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if err := c.permit(address); err != nil {
+		return err
+	}
 	request, err := encodeOrder(address, order)
 	if err != nil {
 		return errors.Join(ErrNotSent, err)
@@ -69,6 +72,7 @@
 	if err != nil {
 		return err
 	}
+	c.observe(address, response)
 	if response.StatusCode != http.StatusOK {
 		// An order has a connection of its own.
 		return readRefusal(response, "")
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -38,6 +38,9 @@
 
 // Dial connects to a service. After an error no byte of the call was sent.
 func (c *Client) Dial(ctx context.Context, address netip.AddrPort) (*Connection, error) {
+	if err := c.permit(address); err != nil {
+		return nil, err
+	}
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
@@ -95,6 +98,7 @@
 
 func (c *Client) readResponse(address netip.AddrPort, response *http.Response, limit int64) (ServiceResponse, error) {
 	defer func() { _ = response.Body.Close() }()
+	c.observe(address, response)
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return ServiceResponse{}, err
--- a/relay/upstream/stream.go
+++ b/relay/upstream/stream.go
@@ -59,6 +59,9 @@
 // Open sends the call and returns when the response's header has arrived. The error is a RefusedError, ErrTimeout, the context's
 // cause or a network error.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
+	if err := c.permit(call.Upstream.Address); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	watch := newWatchdog(c.headerTimeout, cancel)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Upstream.Address.String()+call.Path, bytes.NewReader(call.Body))
@@ -73,6 +76,7 @@
 		watch.stop()
 		return nil, err
 	}
+	c.observe(call.Upstream.Address, response)
 	if response.StatusCode != http.StatusOK {
 		defer watch.stop()
 		return nil, readRefusal(response, call.Request)
@@ -124,7 +128,7 @@
 	if json.Unmarshal(text, &body) != nil {
 		return false
 	}
-	return status == http.StatusConflict && body.Error.Code == "version" || status == http.StatusServiceUnavailable && body.Error.Code == "loading"
+	return status == http.StatusConflict && body.Error.Code == "version" || status == http.StatusServiceUnavailable && (body.Error.Code == "loading" || body.Error.Code == "busy")
 }
 
 // cause returns the cause of a cancelled call, or else the transport's error. After ErrTimeout it closes the upstream's idle
--- a/relay/upstream/transfer.go
+++ b/relay/upstream/transfer.go
@@ -78,11 +78,15 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if err := c.permit(address); err != nil {
+		return nil, err
+	}
 	response, err := c.transport(address).RoundTrip(request)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.observe(address, response)
 	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxBundleBytes))
 	if err != nil {
 		return nil, err
--- a/standin/replica/answer.go
+++ b/standin/replica/answer.go
@@ -27,6 +27,13 @@
 }
 
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	if retryAfter, refused := s.faults.takeRefusal(); refused {
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
+		s.writeError(w, r, oops.Code("busy").Errorf("the engine accepts no requests now"))
+		return
+	}
 	c, err := s.accept(w, r, chat)
 	if err != nil {
 		s.writeError(w, r, err)
@@ -87,6 +94,10 @@
 	s := c.server
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
+	if s.faults.takeUnframed() {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	crashes := s.faults.crashesOn(c.prompt.Text)
 	flush := http.NewResponseController(w).Flush
 	for {
 		events := s.runner.receive(c.box, r.Context().Done())
@@ -108,6 +119,10 @@
 			if err := flush(); err != nil {
 				return
 			}
+			if crashes {
+				s.crash()
+				panic(http.ErrAbortHandler)
+			}
 			c.applyFaults()
 			if event.Kind == engine.Finish {
 				return
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -93,6 +93,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.blockIfSilent(r.Context())
 		s.runner.clock.Sleep(s.delay, r.Context().Done())
+		if s.faults.isLeaving() {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		if id := r.Header.Get("X-Request-Id"); id != "" {
 			w.Header().Set("X-Request-Id", id)
 		}
@@ -140,7 +143,7 @@
 		code, _ = typed.Code().(string)
 	}
 	switch code {
-	case "leaving", "loading":
+	case "leaving", "loading", "busy":
 		status = http.StatusServiceUnavailable
 	case "duplicate", "fenced", "version":
 		status = http.StatusConflict
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -27,9 +27,11 @@
 	// Late delays the response by the duration For, such as 20s.
 	Late int    `json:"late"`
 	For  string `json:"for"`
-	// Refuse responds 503 without running the work.
-	Refuse int `json:"refuse"`
-	// Leave makes the service respond 503 with leaving set if true, and accept calls again if false.
+	// Refuse responds 503 without running the work, with a Retry-After of RetryAfter, such as 2, if that is not empty.
+	Refuse     int    `json:"refuse"`
+	RetryAfter string `json:"retry_after"`
+	// Leave makes the service respond 503 with leaving set, and announce in each answer that it leaves, if true, and accept calls
+	// again if false.
 	Leave *bool `json:"leave,omitempty"`
 }
 
@@ -75,7 +77,14 @@
 	router.HandleFunc("/healthz", s.load).Methods(http.MethodGet)
 	router.HandleFunc("/fault", s.setFault).Methods(http.MethodPost)
 	router.PathPrefix("/").HandlerFunc(s.runWork)
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		if s.leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		s.mutex.Unlock()
+		router.ServeHTTP(w, r)
+	})
 }
 
 func (s *Service) arm(fault Fault) {
@@ -105,8 +114,11 @@
 	}
 	s.mutex.Lock()
 	if s.leaving || consume(&s.fault.Refuse) {
-		leaving := s.leaving
+		leaving, retryAfter := s.leaving, s.fault.RetryAfter
 		s.mutex.Unlock()
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
 		answer.Write(w, http.StatusServiceUnavailable, map[string]any{"error": "the service accepts no calls now; send the call to another replica", "leaving": leaving})
 		return
 	}
