End the readers of a closed session without waiting for its receive loop

Cause: yamux's Stream.Read and Write wait on the session's shutdown channel among others and start over; the streams learn of the end only once the session's receive loop has ended, so that each reader turns without a pause while that loop is held up. Change: once the session's channel closes, the deadlines of both streams are set to the past; the steps of the handshake have deadlines, and a write that began meanwhile is interrupted too. The line of a session's end has its cause and side.

--- a/relay/peer/session.go
+++ b/relay/peer/session.go
@@ -56,11 +56,16 @@
 		}
 	})
 	defer func() { _ = mux.Close() }()
-	out, hello, in, err := m.handshake(mux)
+	out, in, hello, err := m.handshake(mux)
 	if err != nil {
 		m.log.WithField("cause", err.Error()).Debug("peer session refused")
 		return
 	}
+	m.group.Go(func() {
+		<-mux.CloseChan()
+		interrupt(in.stream)
+		interrupt(out)
+	})
 	if expected != "" && hello.GetName() != expected {
 		m.log.WithField("expected", expected).WithField("found", hello.GetName()).Error("another VM answers at this address: correct the peer's address in the settings")
 		return
@@ -73,8 +78,18 @@
 	}
 	m.group.Go(func() { m.sendHeartbeats(mux, hello.GetName(), ended) })
 	m.log.WithField("peer", hello.GetName()).WithField("boot", hello.GetBoot()).Info("peer connected")
-	m.readLoop(in, hello)
-	m.log.WithField("peer", hello.GetName()).Info("peer disconnected")
+	err = m.readLoop(in.reader, hello)
+	m.log.WithField("peer", hello.GetName()).WithField("closed", mux.IsClosed()).WithField("cause", err.Error()).Info("peer disconnected")
+}
+
+// interrupt ends the reads and writes of a stream whose session is closed. Yamux tells its streams only once its own receive loop has
+// ended, and until then each of their readers and writers turns without a pause.
+func interrupt(stream net.Conn) { _ = stream.SetDeadline(time.Unix(1, 0)) }
+
+// incoming is the stream that the peer has opened, and its buffered reader.
+type incoming struct {
+	stream net.Conn
+	reader *bufio.Reader
 }
 
 // sendHeartbeats sends heartbeats until the session ends, and closes a session whose heartbeat is not answered in time.
@@ -100,37 +115,42 @@
 	return m.heartbeat * time.Duration(max(1, m.heartbeatSpacing(name)))
 }
 
-func (m *Mesh) handshake(mux *yamux.Session) (net.Conn, *Hello, *bufio.Reader, error) {
+// handshake exchanges the Hello messages. Each of its steps has a deadline of its own, as a closed session alone doesn't end them.
+func (m *Mesh) handshake(mux *yamux.Session) (out net.Conn, in incoming, hello *Hello, err error) {
 	timer := time.AfterFunc(m.sessionTimeout, func() { _ = mux.Close() })
 	defer timer.Stop()
-	out, err := mux.Open()
-	if err != nil {
-		return nil, nil, nil, err
+	deadline := time.Now().Add(m.sessionTimeout)
+	if out, err = mux.Open(); err != nil {
+		return nil, in, nil, err
 	}
+	_ = out.SetDeadline(deadline)
 	if _, err := writeMessage(out, &Hello{Name: m.name, Centre: m.centre, Boot: m.boot, Address: m.address.String()}); err != nil {
-		return nil, nil, nil, err
+		return nil, in, nil, err
 	}
 	stream, err := mux.Accept()
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, in, nil, err
 	}
-	in := bufio.NewReader(stream)
-	var hello Hello
-	if _, err := readMessage(in, &hello); err != nil {
-		return nil, nil, nil, err
+	_ = stream.SetDeadline(deadline)
+	in, hello = incoming{stream, bufio.NewReader(stream)}, &Hello{}
+	if _, err := readMessage(in.reader, hello); err != nil {
+		return nil, in, nil, err
 	}
+	_ = out.SetDeadline(time.Time{})
+	_ = stream.SetDeadline(time.Time{})
 	if hello.GetName() == "" || hello.GetName() == m.name {
-		return nil, nil, nil, oops.With("name", hello.GetName()).Hint("give each VM a unique name in its settings").Errorf("peer has no name or the name of this VM")
+		return nil, in, nil, oops.With("name", hello.GetName()).Hint("give each VM a unique name in its settings").Errorf("peer has no name or the name of this VM")
 	}
-	return out, &hello, in, nil
+	return out, in, hello, nil
 }
 
-func (m *Mesh) readLoop(in *bufio.Reader, hello *Hello) {
+// readLoop passes on the messages of a session until its end, and returns the error that ended it.
+func (m *Mesh) readLoop(in *bufio.Reader, hello *Hello) error {
 	for {
 		envelope := &Envelope{}
 		n, err := readMessage(in, envelope)
 		if err != nil {
-			return
+			return err
 		}
 		m.counters.Received.Add(1)
 		m.counters.Bytes.Add(int64(n))
@@ -151,6 +171,10 @@
 				continue
 			}
 			_ = s.out.SetWriteDeadline(time.Now().Add(m.sessionTimeout))
+			if s.mux.IsClosed() {
+				// The deadline may have replaced that of interrupt.
+				interrupt(s.out)
+			}
 			n, err := s.out.Write(frame)
 			m.counters.Bytes.Add(int64(n))
 			if err != nil {
