Ask the other VMs for the verdicts at a start, and repeat them seldom

Cause: each control VM repeated all verdicts to every VM each second, so that a restarted VM learned of them: 400 VMs times 45 B/s for each verdict, which is all that a control VM may spend; and a restarted VM knew nothing for a second. Change: a VM or judge that has started asks for the verdicts each 250 ms until it has an answer, for three seconds at most; repeats come each ten seconds.

--- a/relay/dispatch/quarantine.go
+++ b/relay/dispatch/quarantine.go
@@ -77,9 +77,14 @@
 func QuarantineSender(mesh *peer.Mesh, judges func() []string, logger log.Interface) func(quarantine.Effects) {
 	return func(effects quarantine.Effects) {
 		for _, out := range effects.Outgoing {
-			to := judges()
-			if out.To == quarantine.Everyone {
+			var to []string
+			switch out.To {
+			case quarantine.Judges:
+				to = judges()
+			case quarantine.Everyone:
 				to = mesh.Connected()
+			case quarantine.Sender:
+				to = []string{out.Name}
 			}
 			mesh.Broadcast(to, encodeQuarantine(out.Report))
 		}
@@ -94,7 +99,7 @@
 
 // encodeQuarantine returns the message of a report.
 func encodeQuarantine(r quarantine.Report) *peer.Envelope {
-	m := &peer.Quarantine{Suspects: r.Suspects}
+	m := &peer.Quarantine{Suspects: r.Suspects, Query: r.Query, Reply: r.Reply}
 	for _, crash := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.PartCrash{
 			Upstream: crash.Upstream, Parts: crash.Parts, Age: uint32(crash.Age.Milliseconds()), Running: uint32(crash.Running.Milliseconds()),
@@ -112,7 +117,7 @@
 }
 
 func decodeQuarantine(m *peer.Quarantine) quarantine.Report {
-	r := quarantine.Report{Suspects: m.GetSuspects()}
+	r := quarantine.Report{Suspects: m.GetSuspects(), Query: m.GetQuery(), Reply: m.GetReply()}
 	for _, crash := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
 			Upstream: crash.GetUpstream(), Parts: crash.GetParts(),
--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -27,9 +27,11 @@
 	tiedTrial       = 2 * time.Second
 	maxTrial        = 8 * time.Minute
 	trialTimeout    = 30 * time.Second
-	// repeatToEveryone and repeatToJudges are the intervals at which verdicts are repeated.
-	repeatToEveryone = time.Second
-	repeatToJudges   = 5 * time.Second
+	// repeatInterval is the interval at which verdicts are repeated, in case a message was lost. A VM that has started asks for them
+	// each queryInterval until it has an answer, and goes without one after learningTime.
+	repeatInterval = 10 * time.Second
+	queryInterval  = 250 * time.Millisecond
+	learningTime   = 3 * time.Second
 	// maxSuspicions and maxVerdicts bound the memory of a core.
 	maxSuspicions = 4096
 	maxVerdicts   = 256
@@ -109,7 +111,10 @@
 	// cleared are the parts of which a judge has heard an answer since the last tick.
 	cleared    []Answer
 	repeatedAt time.Duration
-	effects    Effects
+	// startedAt is the time of the first tick, and learned is set once the verdicts of other VMs are known.
+	startedAt, queriedAt time.Duration
+	learned              bool
+	effects              Effects
 }
 
 // Option configures a Core.
@@ -376,6 +381,10 @@
 
 // Receive applies a report of another VM.
 func (c *Core) Receive(now time.Duration, from string, r Report) {
+	c.learned = c.learned || r.Reply
+	if r.Query && c.learned {
+		c.effects.Outgoing = append(c.effects.Outgoing, Outgoing{To: Sender, Name: from, Report: Report{Reply: true, Verdicts: c.exportVerdicts(now)}})
+	}
 	for _, v := range r.Verdicts {
 		// A judge passes on what it hears from a VM; others hear it from the judges.
 		if c.adopt(now, v, nil) && c.judge {
@@ -419,6 +428,7 @@
 
 // Tick drives what depends on time and returns the effects of all calls since the last one; call it every 10 to 100 ms.
 func (c *Core) Tick(now time.Duration) Effects {
+	c.learn(now)
 	c.expire(now)
 	c.report(now)
 	if len(c.cleared) > 0 {
@@ -460,21 +470,35 @@
 	}
 }
 
-// repeat sends the verdicts once more, for VMs that have restarted.
-func (c *Core) repeat(now time.Duration) {
-	interval := repeatToJudges
-	if c.judge {
-		interval = repeatToEveryone
+// learn asks for the verdicts after a start: a judge asks everyone, as the other judges may have started too.
+func (c *Core) learn(now time.Duration) {
+	if c.startedAt == 0 {
+		c.startedAt = now
 	}
-	if len(c.verdicts) == 0 || now-c.repeatedAt < interval {
+	if c.learned || now-c.startedAt >= learningTime {
+		c.learned = true
 		return
 	}
-	c.repeatedAt = now
-	var r Report
+	if c.queriedAt == 0 || now-c.queriedAt >= queryInterval {
+		c.queriedAt = now
+		c.send(c.audience(), Report{Query: true})
+	}
+}
+
+// repeat sends the verdicts once more, in case a message was lost.
+func (c *Core) repeat(now time.Duration) {
+	if len(c.verdicts) > 0 && now-c.repeatedAt >= repeatInterval {
+		c.repeatedAt = now
+		c.send(c.audience(), Report{Verdicts: c.exportVerdicts(now)})
+	}
+}
+
+func (c *Core) exportVerdicts(now time.Duration) []Verdict {
+	var verdicts []Verdict
 	for _, v := range c.verdicts {
-		r.Verdicts = append(r.Verdicts, v.export(now))
+		verdicts = append(verdicts, v.export(now))
 	}
-	c.send(c.audience(), r)
+	return verdicts
 }
 
 func (c *Core) send(to Audience, r Report) {
--- a/relay/quarantine/report.go
+++ b/relay/quarantine/report.go
@@ -38,6 +38,8 @@
 	// Answered are the last answers to parts under suspicion or on trial, or of which a judge asked.
 	Answered []Answer
 	Verdicts []Verdict
+	// Query asks for all verdicts, as after a start; Reply marks the answer.
+	Query, Reply bool
 }
 
 // Audience is the set of VMs that a report is sent to.
@@ -49,11 +51,14 @@
 	Judges Audience = iota
 	// Everyone are all VMs that the sender has sessions with.
 	Everyone
+	// Sender is the VM named in Outgoing.Name.
+	Sender
 )
 
 // Outgoing is a report to be sent.
 type Outgoing struct {
 	To     Audience
+	Name   string
 	Report Report
 }
 
