Judge a part beside all others under which the same engines ended

Cause: reading the judgement again. A part was compared only with those that came up at the same moment and shared three engines, so that a sound part with one crash of its own before could come under a verdict; and crashes under a part in quarantine made the other parts of the same requests suspect. Change: a part is a less likely cause if most of its engines ended under another part that was answered longer ago, due or not; it comes up again with its next crash. A part in quarantine explains a crash. The state is split by suspicion and verdict.

--- a/relay/quarantine/core_test.go
+++ b/relay/quarantine/core_test.go
@@ -180,6 +180,17 @@
 		Expect(f.admitted("vm0", crashing)).To(BeFalse())
 	})
 
+	condemn := func(f *fleet) {
+		for i := range 5 {
+			f.crash(f.vms[i%len(f.vms)], fmt.Sprint("e", i), crashing)
+			f.run(400 * time.Millisecond)
+		}
+		f.run(time.Second)
+		for _, name := range slices.Concat(f.vms, f.judges) {
+			ExpectWithOffset(1, f.admitted(name, crashing)).To(BeFalse(), name)
+		}
+	}
+
 	crashInTurn := func(f *fleet) {
 		for i := range 3 {
 			f.cores["vm0"].Crashed(f.now, quarantine.Crash{Upstream: fmt.Sprint("e", i), Parts: []uint64{common, crashing}, Running: 40 * time.Millisecond})
@@ -202,6 +213,35 @@
 		}
 	})
 
+	// Guards against verdicts on parts that were merely in progress when engines ended under another part.
+	It("spares a part that was in progress at some of the engines that ended under another one, and at one that ended before", func() {
+		f := newFleet(8, 3)
+		f.cores["vm1"].Answered(f.now, []uint64{common})
+		f.run(5 * time.Second)
+		f.cores["vm2"].Crashed(f.now, quarantine.Crash{Upstream: "e0", Parts: []uint64{common, other}, Running: time.Second})
+		f.run(2 * tick)
+		for i := 1; i < 5; i++ {
+			f.cores["vm3"].Crashed(f.now, quarantine.Crash{Upstream: fmt.Sprint("e", i), Parts: []uint64{common, crashing}, Running: 60 * time.Millisecond})
+			f.cores["vm4"].Crashed(f.now, quarantine.Crash{Upstream: fmt.Sprint("e", i), Parts: []uint64{common, 99}, Running: 3 * time.Second})
+			f.run(200 * time.Millisecond)
+		}
+		f.run(time.Second)
+		Expect(f.admitted("vm0", crashing)).To(BeFalse())
+		Expect(f.admitted("vm0", common, other)).To(BeTrue())
+	})
+
+	// Guards against a suspicion of the other parts of requests that were in progress when their part came into quarantine.
+	It("explains later crashes by a part that is in quarantine", func() {
+		f := newFleet(8, 3)
+		condemn(f)
+		for i := range 6 {
+			f.cores["vm1"].Crashed(f.now, quarantine.Crash{Upstream: fmt.Sprint("late", i), Parts: []uint64{crashing, other}, Running: 100 * time.Millisecond})
+			f.run(300 * time.Millisecond)
+		}
+		f.run(time.Second)
+		Expect(f.admitted("vm0", other)).To(BeTrue())
+	})
+
 	It("spares them also where a VM decides alone", func() {
 		f := newFleet(1, 0)
 		f.cores["vm0"].Answered(f.now, []uint64{common})
@@ -241,17 +281,6 @@
 		Expect(f.admitted("vm0", common)).To(BeTrue())
 	})
 
-	condemn := func(f *fleet) {
-		for i := range 5 {
-			f.crash(f.vms[i%len(f.vms)], fmt.Sprint("e", i), crashing)
-			f.run(400 * time.Millisecond)
-		}
-		f.run(time.Second)
-		for _, name := range slices.Concat(f.vms, f.judges) {
-			ExpectWithOffset(1, f.admitted(name, crashing)).To(BeFalse(), name)
-		}
-	}
-
 	// trials returns the VMs that admit a request with the part now.
 	trials := func(f *fleet) (names []string) {
 		for _, name := range f.vms {
--- /dev/null
+++ b/relay/quarantine/suspicion.go
@@ -0,0 +1,129 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// suspicion is a part under which engines have ended since it was last answered.
+type suspicion struct {
+	first, last time.Duration
+	// crashes is the number of crashes that count; crashedAt is when each engine last ended.
+	crashes   int
+	crashedAt map[string]time.Duration
+	// reporter is the VM that reported the last crash, empty for this one.
+	reporter string
+	// due is when the part comes before the judge, 0 until enough engines have ended under it.
+	due time.Duration
+	// answeredAt is when the part was last answered before the first crash, if known reports that it was.
+	answeredAt time.Duration
+	known      bool
+}
+
+// recordAnswer records an answer from before the first crash.
+func (s *suspicion) recordAnswer(at time.Duration) {
+	if !s.known || at > s.answeredAt {
+		s.answeredAt, s.known = at, true
+	}
+}
+
+// lessLikely reports whether a part is a less likely cause of its crashes than another one, which was answered longer ago.
+func (s *suspicion) lessLikely(other *suspicion) bool {
+	return other.crashes >= judgeCrashes-1 && s.explainedBy(other) && s.known && (!other.known || other.answeredAt < s.answeredAt)
+}
+
+// explainedBy reports whether most of the engines that ended under a part ended under another one as well.
+func (s *suspicion) explainedBy(other *suspicion) bool {
+	shared := 0
+	for upstream := range s.crashedAt {
+		if _, ok := other.crashedAt[upstream]; ok {
+			shared++
+		}
+	}
+	return 2*shared > len(s.crashedAt)
+}
+
+// suspect records a crash; it counts once for each engine and part. A part in quarantine explains the crash, so that the others don't
+// come under suspicion.
+func (c *Core) suspect(now time.Duration, crash Crash, reporter string) {
+	at := now - crash.Age
+	for _, part := range crash.Parts {
+		if v := c.inForce(now, part); v != nil {
+			c.failTrial(now, v)
+			return
+		}
+	}
+	for _, part := range crash.Parts {
+		s := c.suspicions[part]
+		if s == nil {
+			if len(c.suspicions) >= maxSuspicions {
+				continue
+			}
+			s = &suspicion{first: at, last: at - minCrashInterval, crashedAt: map[string]time.Duration{}}
+			c.suspicions[part] = s
+		}
+		if before, known := s.crashedAt[crash.Upstream]; known && at-before < restartTime {
+			continue
+		}
+		if at-s.last < minCrashInterval && at-crash.Running <= s.last {
+			continue
+		}
+		s.crashedAt[crash.Upstream] = at
+		s.last, s.reporter = at, reporter
+		s.crashes++
+		c.consider(now, part, s)
+	}
+	if !c.judge {
+		c.judgeSuspicions(now)
+	}
+	if len(c.asking) > 0 {
+		c.send(Everyone, Report{Suspects: c.asking})
+		c.asking = nil
+	}
+}
+
+// consider asks when a part was last answered, or has it come before this VM's own judgement, if enough engines have ended under it.
+func (c *Core) consider(now time.Duration, part uint64, s *suspicion) {
+	if s.due > 0 {
+		return
+	}
+	if c.judge && s.crashes >= judgeCrashes {
+		s.due = now + objectionTime
+		c.asking = append(c.asking, part)
+	}
+	if !c.judge && s.crashes >= ownCrashes {
+		s.due = now
+	}
+	if at, ok := c.answered.last(part); ok && s.due > 0 {
+		s.recordAnswer(at)
+	}
+}
+
+// judgeSuspicions puts the parts in quarantine that are due. One that is a less likely cause than another comes up again with the next
+// crash under it.
+func (c *Core) judgeSuspicions(now time.Duration) {
+	due := map[uint64]*suspicion{}
+	for part, s := range c.suspicions {
+		if s.due > 0 && now >= s.due {
+			due[part] = s
+		}
+	}
+	var condemned []uint64
+	for part, s := range due {
+		explained := false
+		for _, other := range c.suspicions {
+			explained = explained || s.lessLikely(other)
+		}
+		if !explained {
+			condemned = append(condemned, part)
+		}
+	}
+	for _, s := range due {
+		s.due = 0
+	}
+	slices.Sort(condemned)
+	for _, part := range condemned {
+		// Each of them was judged beside the others, so that none explains another one.
+		c.condemn(now, part, due[part], len(condemned) > 1)
+	}
+}
