Reserve the memory that a growing event really occupies

Cause: beside load the flood tests saw up to 34 MB of live memory, above their bound of a quarter of a small VM: an event's buffer doubles as it grows, and what was reserved was its length, not its capacity nor the old copy. Change: readEvent reserves the new capacity and that of the copy before it allocates. FuzzReadEvent's corpus passes.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -238,13 +238,12 @@
 // readEvent returns the next event with its closing blank line, and its ID or an empty string. After the last event it returns
 // io.EOF, or errTornEvent if the answer ends within an event. The caller releases the event's memory.
 func readEvent(r *bufio.Reader, memory *reservation) (event []byte, id string, err error) {
-	start := 0
+	start, ok := 0, true
 	for len(event) < maxEventBytes {
 		part, err := r.ReadSlice('\n')
-		if !memory.grow(len(event) + len(part)) {
+		if event, ok = memory.append(event, part); !ok {
 			return nil, "", errBuffersFull
 		}
-		event = append(event, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			// The line is longer than the reader's buffer.
 			continue
--- a/relay/forward/buffer.go
+++ b/relay/forward/buffer.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxTotalBuffered limits the bytes of answers that all requests of a VM hold in memory together, beyond freeBuffer each. Small
-	// VMs have about 100 MiB in all, and memory that grows occupies up to twice its size for a moment.
+	// VMs have about 100 MiB in all.
 	maxTotalBuffered = 8 << 20
 	// freeBuffer is the part of an answer or of an event that is buffered without a reservation. Usual answers are shorter.
 	freeBuffer = 16 << 10
@@ -42,6 +42,20 @@
 	return true
 }
 
+// append appends a part to an event and reports whether there is memory for it. What is reserved is the event's capacity, and that of
+// its old copy while it grows.
+func (r *reservation) append(event, part []byte) ([]byte, bool) {
+	need := len(event) + len(part)
+	if need <= cap(event) {
+		return append(event, part...), true
+	}
+	grown := max(need, 2*cap(event))
+	if !r.grow(grown + cap(event)) {
+		return nil, false
+	}
+	return append(append(make([]byte, 0, grown), event...), part...), true
+}
+
 // release returns the memory to the pool.
 func (r *reservation) release() {
 	r.pool.reserved.Add(-r.held)
