Use an upstream again that has started under the ID under which it left

Cause: reading the new rule's code again. Where neither list nor answers name an upstream's start, one that had announced that it leaves and came back under its ID within ten seconds would not have been used again until the VM restarted. Change: an answer without the announcement, a second or more after the last one with it, shows another incarnation; so does a list that shows the upstream as ready for ten seconds after it showed it as leaving or not at all.

--- a/relay/directory/directory.go
+++ b/relay/directory/directory.go
@@ -9,20 +9,26 @@
 const (
 	// reportLifetime is how long an upstream's own report takes precedence over the platform's list, which lags behind.
 	reportLifetime = 3 * time.Second
-	// absence is how long an upstream whose start is unknown must be off the list before one of the same ID counts as another
-	// incarnation; it is longer than the list lags, also after a change of its reader.
-	absence = 10 * time.Second
 	// departureLifetime is how long the announcement of an upstream that is off the list is kept.
 	departureLifetime = 10 * time.Minute
+	// returnTime is how long the list must show an upstream as ready, after it has shown it as leaving or not at all, before one whose
+	// start is unknown counts as another incarnation. It is longer than lists from several readers can differ.
+	returnTime = 10 * time.Second
+	// silenceTime is how long after an announcement an answer without one shows another incarnation: answers on several connections
+	// can overtake each other.
+	silenceTime = time.Second
 )
 
 // departure is an upstream's announcement that it is about to stop.
 type departure struct {
-	// startedAt is the incarnation that announced it, zero if unknown.
-	startedAt time.Time
-	// absentSince is when the list stopped to show the upstream; present reports that it shows it.
-	absentSince time.Duration
-	present     bool
+	// startedAt is the incarnation that announced it, zero if unknown; announcedAt is when it last did so.
+	startedAt   time.Time
+	announcedAt time.Duration
+	// left is set once the list has shown the upstream as leaving or not at all; leftAt is when it last did so.
+	left   bool
+	leftAt time.Duration
+	// listedAt is when the list last showed the upstream.
+	listedAt time.Duration
 }
 
 // Report is an upstream's state as its responses show it, or as the holder of the order lease is about to change it.
@@ -80,43 +86,46 @@
 }
 
 // AddDeparture records that the present incarnation of an upstream has announced that it leaves, and reports whether this was unknown.
-// Unlike a report it holds until another incarnation is listed: the list may be late, or not readable.
+// Unlike a report it holds until another incarnation shows itself: the list may be late, or not readable.
 func (d *Directory) AddDeparture(now time.Duration, id string) bool {
-	if d.departures[id] != nil {
+	if known := d.departures[id]; known != nil {
+		known.announcedAt = now
 		return false
 	}
-	listed, present := d.listed[id]
-	d.departures[id] = &departure{startedAt: listed.StartedAt, absentSince: now, present: present}
+	d.departures[id] = &departure{startedAt: d.listed[id].StartedAt, announcedAt: now, listedAt: now}
 	return true
 }
 
-// leaves reports whether a listed upstream has announced that it leaves.
-func (d *Directory) leaves(now time.Duration, u Upstream) bool {
-	left := d.departures[u.ID]
-	if left == nil {
+// EndDeparture records an answer of an upstream without the announcement, and reports whether it shows another incarnation of one that
+// had announced that it leaves.
+func (d *Directory) EndDeparture(now time.Duration, id string) bool {
+	known := d.departures[id]
+	if known == nil || now-known.announcedAt < silenceTime {
 		return false
 	}
-	another := u.StartedAt.After(left.startedAt)
-	if left.startedAt.IsZero() {
-		another = !left.present && now-left.absentSince >= absence
-	}
-	if another {
-		delete(d.departures, u.ID)
-		return false
-	}
-	left.present = true
+	delete(d.departures, id)
 	return true
 }
 
-// pruneDepartures notes which announcements are of upstreams off the list, and deletes old ones.
-func (d *Directory) pruneDepartures(now time.Duration) {
-	for id, left := range d.departures {
-		_, listed := d.listed[id]
+// Departures returns the number of upstreams that have announced that they leave.
+func (d *Directory) Departures() int { return len(d.departures) }
+
+// updateDepartures ends the announcements of upstreams of which the list shows another incarnation, and deletes old ones.
+func (d *Directory) updateDepartures(now time.Duration) {
+	for id, known := range d.departures {
+		u, listed := d.listed[id]
+		if !listed || u.Leaving {
+			known.left, known.leftAt = true, now
+		}
+		if listed {
+			known.listedAt = now
+		}
 		switch {
-		case listed:
-		case left.present:
-			left.present, left.absentSince = false, now
-		case now-left.absentSince >= departureLifetime:
+		case now-known.listedAt >= departureLifetime:
+			delete(d.departures, id)
+		case listed && !known.startedAt.IsZero() && u.StartedAt.After(known.startedAt):
+			delete(d.departures, id)
+		case listed && known.startedAt.IsZero() && known.left && now-known.leftAt >= returnTime:
 			delete(d.departures, id)
 		}
 	}
@@ -124,17 +133,17 @@
 
 // Upstreams returns the listed upstreams with valid reports applied, ordered by ID, and deletes expired reports.
 func (d *Directory) Upstreams(now time.Duration) []Upstream {
+	d.updateDepartures(now)
 	merged := make([]Upstream, 0, len(d.listed))
 	for id, u := range d.listed {
 		r, ok := d.reports[id]
 		if ok && r.valid(now) && (r.StartedAt.IsZero() || u.StartedAt.IsZero() || !r.StartedAt.Before(u.StartedAt)) {
 			u = r.apply(u)
 		}
-		u.Leaving = d.leaves(now, u) || u.Leaving
+		u.Leaving = u.Leaving || d.departures[id] != nil
 		merged = append(merged, u)
 	}
 	slices.SortFunc(merged, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	d.pruneDepartures(now)
 	for id, r := range d.reports {
 		if !r.valid(now) {
 			delete(d.reports, id)
--- a/relay/directory/directory_test.go
+++ b/relay/directory/directory_test.go
@@ -103,21 +103,34 @@
 		Expect(leaves(d, time.Hour+3*time.Minute)).To(BeFalse())
 	})
 
-	It("counts as another incarnation after a while off the list if its start is unknown", func() {
-		unknown := engine("e", 1)
-		unknown.StartedAt = time.Time{}
+	It("counts as another incarnation once the list has shown it as ready for a while after it had left, if its start is unknown", func() {
+		ready := engine("e", 1)
+		ready.StartedAt = time.Time{}
+		leaving := ready
+		leaving.Leaving = true
+		for _, gone := range [][]directory.Upstream{nil, {leaving}} {
+			d := directory.New()
+			d.SetList([]directory.Upstream{ready})
+			d.AddDeparture(0, "e")
+			Expect(leaves(d, time.Hour)).To(BeTrue())
+			d.SetList(gone)
+			d.Upstreams(time.Hour + time.Second)
+			d.SetList([]directory.Upstream{ready})
+			Expect(leaves(d, time.Hour+6*time.Second)).To(BeTrue())
+			Expect(leaves(d, time.Hour+12*time.Second)).To(BeFalse())
+		}
+	})
+
+	It("counts as another incarnation after an answer without the announcement, but not of one that was under way", func() {
 		d := directory.New()
-		d.SetList([]directory.Upstream{unknown})
+		d.SetList([]directory.Upstream{engine("e", 1)})
 		d.AddDeparture(0, "e")
-		Expect(leaves(d, time.Minute)).To(BeTrue())
-		d.SetList(nil)
-		d.Upstreams(time.Minute)
-		d.SetList([]directory.Upstream{unknown})
-		Expect(leaves(d, time.Minute+5*time.Second)).To(BeTrue())
-		d.SetList(nil)
-		d.Upstreams(2 * time.Minute)
-		d.SetList([]directory.Upstream{unknown})
-		Expect(leaves(d, 2*time.Minute+11*time.Second)).To(BeFalse())
+		Expect(d.EndDeparture(500*time.Millisecond, "e")).To(BeFalse())
+		d.AddDeparture(time.Minute, "e")
+		Expect(d.EndDeparture(time.Minute+500*time.Millisecond, "e")).To(BeFalse())
+		Expect(leaves(d, 2*time.Minute)).To(BeTrue())
+		Expect(d.EndDeparture(2*time.Minute, "e")).To(BeTrue())
+		Expect(leaves(d, 2*time.Minute)).To(BeFalse())
 	})
 
 	It("is forgotten some time after it has left the list", func() {
@@ -126,6 +139,6 @@
 			d.AddDeparture(0, string(rune('a'+i)))
 		}
 		d.Upstreams(11 * time.Minute)
-		Expect(d.AddDeparture(12*time.Minute, "a")).To(BeTrue())
+		Expect(d.Departures()).To(BeZero())
 	})
 })
--- a/relay/vm/pauses.go
+++ b/relay/vm/pauses.go
@@ -22,6 +22,8 @@
 		}
 		if metadata.Leaving {
 			st.addDeparture(upstream)
+		} else {
+			st.endDeparture(upstream)
 		}
 		if metadata.RetryAfter > 0 {
 			logger.WithFields(log.Fields{"upstream": upstream, "pause": metadata.RetryAfter}).Info("upstream paused")
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -22,6 +22,8 @@
 	list    atomic.Pointer[directory.List]
 	weights atomic.Pointer[map[string]uint64]
 	vms     atomic.Pointer[peer.Roster]
+	// departures is the number of upstreams that have announced that they leave, so that most answers need no lock.
+	departures atomic.Int64
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -80,11 +82,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.directory.AddDeparture(s.now(), id) {
+		s.departures.Store(int64(s.directory.Departures()))
 		s.log.WithField("upstream", id).Info("upstream leaves")
 		s.publish("its own answer")
 	}
 }
 
+// endDeparture records an answer without such an announcement.
+func (s *state) endDeparture(id string) {
+	if s.departures.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directory.EndDeparture(s.now(), id) {
+		s.log.WithField("upstream", id).Info("upstream has started again")
+		s.publish("its own answer")
+	}
+	s.departures.Store(int64(s.directory.Departures()))
+}
+
 // publish stores the merged list for traffic if it has changed; the caller holds the lock.
 func (s *state) publish(source string) {
 	upstreams := s.directory.Upstreams(s.now())
