--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -56,9 +56,10 @@
 	lastEventAt time.Time
 	maxPause    time.Duration
 	refusalKind outcome.Kind
-	// sentAt is when the last attempt was sent, framing how its answer's end is marked (empty before its header arrives); forwardedEvents counts the events sent to the caller.
-	sentAt          time.Time
-	framing         connection.Framing
+	// sentAt is when the last attempt was sent, framing how its answer's end is marked, empty before its header arrives.
+	sentAt  time.Time
+	framing connection.Framing
+	// forwardedEvents counts the events sent to the caller.
 	forwardedEvents int
 }
 
