--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -54,3 +54,8 @@
 		"tenants": tenants,
 	}
 }
+
+// engineOf returns the engine part of the first service of a desired state.
+func engineOf(state map[string]any) map[string]any {
+	return state["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)
+}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -30,8 +30,10 @@
 	// find returns the engine at an address.
 	find func(address string) *engine
 
-	mu       sync.Mutex
-	version  uint64
+	mu      sync.Mutex
+	version uint64
+	// others are the versions of further models.
+	others   map[string]uint64
 	busy     bool
 	sequence uint64
 	fence    int64
@@ -56,7 +58,7 @@
 func newEngine(s *site, n int, service, model string, pieces int, pause time.Duration) *engine {
 	e := &engine{
 		id: fmt.Sprintf("i-engine%d", n), address: fmt.Sprintf("%s.%d:8080", s.prefix, 100+n), model: model, born: time.Now().UnixMilli(), record: s.record,
-		pieces: pieces, pause: pause, version: 1, cache: map[string]kvPart{}, changed: make(chan struct{}), runs: map[string]*engineRun{},
+		pieces: pieces, pause: pause, version: 1, others: map[string]uint64{}, cache: map[string]kvPart{}, changed: make(chan struct{}), runs: map[string]*engineRun{},
 		used: func(string, string, string, kvPart) {}, ran: func(string, string) {}, find: func(string) *engine { return nil },
 	}
 	entry := map[string]any{
@@ -70,11 +72,11 @@
 		// The list follows the replica's version with a lag.
 		for range time.Tick(200 * time.Millisecond) {
 			e.mu.Lock()
-			version := e.version
+			models := e.models()
 			e.mu.Unlock()
 			time.AfterFunc(800*time.Millisecond, func() {
 				s.mu.Lock()
-				entry["models"] = []any{map[string]any{"name": model, "version": version, "adapters": []any{}}}
+				entry["models"] = models
 				s.mu.Unlock()
 			})
 		}
@@ -83,6 +85,22 @@
 	return e
 }
 
+// addModel adds a further model, on version 1.
+func (e *engine) addModel(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.others[name] = 1
+}
+
+// models is called with the lock held.
+func (e *engine) models() []any {
+	list := []any{map[string]any{"name": e.model, "version": e.version, "adapters": []any{}}}
+	for name, version := range e.others {
+		list = append(list, map[string]any{"name": name, "version": version, "adapters": []any{}})
+	}
+	return list
+}
+
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if wanted := r.Header.Get("Chicoryrelay-Expect-Instance"); wanted != "" && wanted != e.id && r.URL.Path != "/kv-events" {
@@ -124,7 +142,7 @@
 		runs = append(runs, []any{run.id, 1000, run.made, run.urgent})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{
-		"stage": "unified", "models": []any{map[string]any{"name": e.model, "version": e.version, "adapters": []any{}}}, "busy": e.busy, "sequence": e.sequence,
+		"stage": "unified", "models": e.models(), "busy": e.busy, "sequence": e.sequence,
 		"queued": 0, "running": len(runs), "kvUsed": 1000 * len(runs), "kvTotal": 90000, "handles": 0, "born": e.born, "runs": runs,
 	})
 }
@@ -186,12 +204,23 @@
 	case e.busy || o.Expect != nil && *o.Expect != e.sequence:
 		w.WriteHeader(http.StatusConflict)
 		return
-	case o.Version == e.version:
+	case o.Model == e.model && o.Version == e.version, o.Model != e.model && o.Version == e.others[o.Model]:
 		w.WriteHeader(http.StatusOK)
 		return
 	}
 	e.fence, e.busy = *o.Fence, true
 	e.sequence++
+	if o.Model != e.model {
+		// The runs and the cache are those of the first model, which an order for another one doesn't affect.
+		time.AfterFunc(380*time.Millisecond, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.others[o.Model], e.busy = o.Version, false
+			e.record.add("%s has version %d of %s", e.id, o.Version, o.Model)
+		})
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
 	e.record.add("%s carries out the order for version %d, mode %s, with %d runs", e.id, o.Version, o.Mode, len(e.runs))
 	for id, run := range e.runs {
 		close(run.reset)
