--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,7 +12,7 @@
 	if len(os.Args) != 4 {
 		stopWith(2, "usage: cases NAME ROOT RECORD")
 	}
-	run := map[string]func(*site) bool{"wall": wall, "attempts": attempts, "stranger": stranger, "tail": tail, "models": models}[os.Args[1]]
+	run := map[string]func(*site) bool{"wall": wall, "attempts": attempts, "stranger": stranger, "models": models}[os.Args[1]]
 	if run == nil {
 		stopWith(2, "unknown case "+os.Args[1])
 	}
