--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -123,7 +123,7 @@
 func (s *site) render(m *machine) []byte {
 	text, err := os.ReadFile(filepath.Join(s.root, "deploy", m.role+".jsonc"))
 	if err != nil {
-		stopWith(2, err.Error())
+		s.fail(err.Error())
 	}
 	fields := s.settings(m)
 	return placeholder.ReplaceAllFunc(text, func(match []byte) []byte {
@@ -138,7 +138,7 @@
 			}
 		}
 		if value == nil {
-			stopWith(2, "template "+m.role+" needs the unknown field "+string(parts[1]))
+			s.fail("template " + m.role + " needs the unknown field " + string(parts[1]))
 		}
 		if len(parts[2]) > 0 {
 			data, _ := json.Marshal(value)
@@ -152,17 +152,17 @@
 func (s *site) start(m *machine) {
 	path := filepath.Join(s.folder, "settings-"+m.ip+".json")
 	if err := os.WriteFile(path, s.render(m), 0o600); err != nil {
-		stopWith(2, err.Error())
+		s.fail(err.Error())
 	}
 	log, err := os.OpenFile(filepath.Join(s.folder, "log-"+m.ip), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		stopWith(2, err.Error())
+		s.fail(err.Error())
 	}
 	m.cmd = exec.Command(filepath.Join(s.root, "target", "platform"))
 	m.cmd.Dir, m.cmd.Stdout, m.cmd.Stderr = s.root, log, log
 	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHICORYRELAY_SETTINGS=" + path}
 	if err := m.cmd.Start(); err != nil {
-		stopWith(2, "cannot start target/platform; run the build command of the deploy file: "+err.Error())
+		s.fail("cannot start target/platform; run the build command of the deploy file: " + err.Error())
 	}
 	m.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) { _ = cmd.Wait(); _ = log.Close(); close(done) }(m.cmd, m.done)
@@ -185,12 +185,12 @@
 // stop ends all processes of the site.
 func (s *site) stop() {
 	for _, m := range s.machines {
-		_ = m.cmd.Process.Signal(syscall.SIGKILL)
-		<-m.done
-	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(s.folder)
+		if m.done != nil {
+			_ = m.cmd.Process.Signal(syscall.SIGKILL)
+			<-m.done
+		}
 	}
+	_ = os.RemoveAll(s.folder)
 }
 
 // serveList serves the platform's list of replicas.
