--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -312,8 +312,7 @@
 	e.runs[id] = run
 	e.prefill(id, h.Get("Chicoryrelay-Tenant"), h.Get("Chicoryrelay-Cache-Salt"), h.Get("Chicoryrelay-Prompt-Prefix"))
 	e.mu.Unlock()
-	e.record.add("%s runs %s of tenant %s on version %d after event %d", e.id, id, h.Get("Chicoryrelay-Tenant"), version, last)
-	e.ran(id, e.id)
+	e.record.add("%s accepts %s of tenant %s on version %d after event %d", e.id, id, h.Get("Chicoryrelay-Tenant"), version, last)
 	defer func() {
 		e.mu.Lock()
 		if e.runs[id] == run {
@@ -338,6 +337,11 @@
 		e.mu.Lock()
 		run.made = n
 		e.mu.Unlock()
+		if n == last+1 {
+			// "A request starts to run with its first token."
+			e.record.add("%s begins %s", e.id, id)
+			e.ran(id, e.id)
+		}
 		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 func main() {
@@ -25,6 +26,14 @@
 		s.stop()
 		stopWith(2, "interrupted")
 	}()
+	defer func() {
+		if failure := recover(); failure != nil {
+			s.stop()
+			stopWith(2, fmt.Sprint("the case can't run: ", failure))
+		}
+	}()
+	// A script runs for 120 s at most.
+	time.AfterFunc(110*time.Second, func() { s.fail("it takes too long") })
 	broken := run(s)
 	s.stop()
 	if broken {
