Wait for the handler before the end of a long answer is checked

Cause: the test read the recorded ends as soon as the caller had its whole answer. The answer has a length, so the caller has its last byte before the handler that wrote it records the end. Not a fault of the product: nothing depends on the end being recorded before the last byte is written. Change: the test closes the server first, which waits for its handlers; the check is the same list as before, and also sees an end that is recorded too often or wrongly.

--- a/relay/forward/flood_test.go
+++ b/relay/forward/flood_test.go
@@ -170,9 +170,12 @@
 			}
 		})
 		fake := &fakePlacer{list: []directory.Upstream{slow}}
-		n, err := readAnswer(newFloodServer(fake), "/read/")
+		server := newFloodServer(fake)
+		n, err := readAnswer(server, "/read/")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n).To(Equal(int64(parts * part)))
+		// The caller has the last byte of an answer with a length before the handler records its end; Close waits for the handler.
+		server.Close()
 		Expect(fake.recordedEnds()).To(Equal([]string{"finished"}))
 	})
 
