Name the scope of shared prompts after the set of isolated accounts

Cause: requests of all accounts that are not isolated kept one scope, and so one salt, whatever the desired state, and a request kept the scope of its arrival while it was queued or resumed. Change: route.Table.Scope names the shared scope after the set of isolated accounts: whoever cached a prompt under it is not in that set, and a VM needs no history. The forwarder looks it up for each attempt, and for the salt once more when it sends. An account that was isolated at the arrival stays so for the request. Scopes of accounts and shared ones begin differently, so that no name of an account is a shared scope, and an account without a name can be isolated. The tests of relay/route and relay/forward need the new functions.

--- a/relay/forward/forward_test.go
+++ b/relay/forward/forward_test.go
@@ -41,6 +41,7 @@
 		h.Del("Last-Event-Id")
 		h.Set("X-Account", o.Account)
 		h.Set("X-Upstream", o.Upstream)
+		h.Set("X-Salt", o.Salt)
 		h.Set("X-Left", strconv.FormatInt(o.Remaining.Milliseconds(), 10))
 		if o.LastEventID != "" {
 			h.Set("Last-Event-Id", o.LastEventID)
--- a/relay/forward/placement.go
+++ b/relay/forward/placement.go
@@ -16,7 +16,7 @@
 	Route    *route.Route
 	Service  *route.Service
 	Metadata *RequestMetadata
-	// Scope limits the sharing of cached prompts: the name of an isolated client account, else empty.
+	// Scope is the scope within which requests share cached prompts.
 	Scope   string
 	Account *route.Account
 	Levels  []prompt.Level
@@ -39,7 +39,8 @@
 	Priority  int
 	FetchFrom netip.AddrPort
 	SaveTo    netip.AddrPort
-	Salt      string
+	// Salt returns the salt that keeps the cached prompts of a scope apart; nil for upstreams that cache none.
+	Salt func(scope string) string
 	// Begin reports the start of the answer.
 	Begin func()
 	// Finish reports a complete answer.
--- /dev/null
+++ b/relay/forward/scope_test.go
@@ -0,0 +1,120 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/route"
+)
+
+// scopeTable returns a table with the account of the key k, baths, and another one; some of the accounts are isolated.
+func scopeTable(isolated ...string) *route.Table {
+	state := &route.State{
+		Routes:   []route.Route{{Name: "note", Host: "h", Prefix: "/note/", Kind: route.Stream, Timeout: 3e9, Target: 4e8, Split: []route.Share{{Service: "plain", Weight: 1}}, Attempts: 2, Resumable: true}},
+		Services: []route.Service{{Name: "plain"}},
+		Accounts: []route.Account{{Name: "baths", Keys: []string{"k"}}, {Name: "makers", Keys: []string{"l"}}},
+	}
+	for i := range state.Accounts {
+		for _, name := range isolated {
+			state.Accounts[i].Isolated = state.Accounts[i].Isolated || state.Accounts[i].Name == name
+		}
+	}
+	return route.NewTable(state)
+}
+
+// scopeSite serves a forwarder whose upstreams record the salts that they receive.
+type scopeSite struct {
+	*httptest.Server
+	table atomic.Pointer[route.Table]
+	mu    sync.Mutex
+	salts []string
+}
+
+// newScopeSite returns a site with two upstreams, of which the first breaks its streams off after one event. The functions, if given, are
+// called once each: while a request is placed, and before its stream breaks off.
+func newScopeSite(first *route.Table, whilePlacing, beforeBreak func(*scopeSite)) *scopeSite {
+	GinkgoHelper()
+	s := &scopeSite{}
+	s.table.Store(first)
+	answer := func(text string, before func(*scopeSite)) directory.Upstream {
+		return rawUpstream(func(conn net.Conn, r *http.Request) {
+			s.mu.Lock()
+			s.salts = append(s.salts, r.Header.Get("X-Salt"))
+			s.mu.Unlock()
+			_, _ = io.WriteString(conn, chunked+chunk(event(1)))
+			if before != nil {
+				before(s)
+			}
+			_, _ = io.WriteString(conn, text)
+		})
+	}
+	fake := &fakePlacer{list: []directory.Upstream{answer("20\r\nid: 99\nda", beforeBreak), answer(chunk(event(2))+"0\r\n\r\n", nil)}}
+	place := func(ctx context.Context, r *forward.PlacementRequest) (*forward.Placement, error) {
+		p, err := fake.place(ctx, r)
+		if err == nil {
+			p.Salt = func(scope string) string { return fmt.Sprintf("%q", scope) }
+		}
+		if whilePlacing != nil {
+			whilePlacing(s)
+			whilePlacing = nil
+		}
+		return p, err
+	}
+	pool, budget := connection.NewPool(), forward.NewBudget()
+	budget.SetLimits(1, 100)
+	budget.SetVMs(1)
+	s.Server = httptest.NewServer(forward.New(
+		forward.WithTable(s.table.Load), forward.WithDialect(dialect), forward.WithPool(pool),
+		forward.WithPlaceFunc(place), forward.WithBudget(budget), forward.WithLog(&log.Logger{Handler: discard.Default}),
+	))
+	DeferCleanup(s.Close)
+	DeferCleanup(pool.Close)
+	return s
+}
+
+var _ = Describe("the salt of a request's cached prompts", func() {
+	// salts returns the salts of a stream's attempts.
+	salts := func(s *scopeSite) []string {
+		GinkgoHelper()
+		_, err := readAnswer(s.Server, "/note/")
+		Expect(err).NotTo(HaveOccurred())
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.salts).To(HaveLen(2))
+		return s.salts
+	}
+	saltOf := func(t *route.Table) string {
+		scope, _ := t.Scope(&route.Account{Name: "baths"})
+		return fmt.Sprintf("%q", scope)
+	}
+	install := func(t *route.Table) func(*scopeSite) { return func(s *scopeSite) { s.table.Store(t) } }
+	open, othersIsolated, isolated := scopeTable(), scopeTable("makers"), scopeTable("baths")
+
+	// Guards against cached prompts of an account that has become isolated in requests that were queued or resumed meanwhile.
+	It("is that of the desired state in force when the request is sent, not when it arrived or was queued", func() {
+		Expect(salts(newScopeSite(open, install(othersIsolated), nil))).To(HaveEach(saltOf(othersIsolated)))
+	})
+
+	It("is that of the desired state in force when the stream is resumed", func() {
+		Expect(salts(newScopeSite(open, nil, install(othersIsolated)))).To(Equal([]string{saltOf(open), saltOf(othersIsolated)}))
+		Expect(salts(newScopeSite(open, nil, install(isolated)))).To(Equal([]string{saltOf(open), saltOf(isolated)}))
+	})
+
+	It("remains the account's own for a request that arrived while the account was isolated", func() {
+		Expect(salts(newScopeSite(isolated, nil, install(open)))).To(HaveEach(saltOf(isolated)))
+	})
+})
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -42,6 +42,8 @@
 	placementRequest *PlacementRequest
 	body             []byte
 	target           string
+	// ownScope is the scope of a request whose account was isolated when it arrived, else empty.
+	ownScope string
 	// sentTo are the addresses of the attempts so far.
 	sentTo []netip.AddrPort
 	// sends counts the attempts of which a byte may have been sent, runs the attempts that may have run.
@@ -133,15 +135,12 @@
 		ID: s.metadata.ID, Route: s.route, Service: table.Service(name), Metadata: &s.metadata, Account: account, Priority: s.route.Priority,
 		Arrived: s.arrived, Deadline: s.arrived.Add(timeout),
 	}
-	if account != nil {
-		if account.Priority != nil {
-			s.placementRequest.Priority = *account.Priority
-		}
-		if account.Isolated {
-			s.placementRequest.Scope = account.Name
-		}
+	if account != nil && account.Priority != nil {
+		s.placementRequest.Priority = *account.Priority
+	}
+	if scope, isolated := table.Scope(account); isolated {
+		s.ownScope = scope
 	}
-	s.placementRequest.Levels = prefixLevels(s.placementRequest.Scope, s.metadata.Parts)
 	for _, part := range s.metadata.Parts {
 		s.placementRequest.PartHashes = append(s.placementRequest.PartHashes, routing.PartHash(part.ID))
 	}
@@ -152,6 +151,24 @@
 	s.lastEventID = s.metadata.LastEventID
 }
 
+// scope returns the scope of the request's cached prompts under the present desired state, in which accounts may have become isolated
+// since the request arrived. An account that was isolated then stays so for this request.
+func (s *session) scope() string {
+	if s.ownScope != "" {
+		return s.ownScope
+	}
+	scope, _ := s.f.table().Scope(s.placementRequest.Account)
+	return scope
+}
+
+// setScope updates the fields of the placement request that depend on the scope.
+func (s *session) setScope() {
+	if scope := s.scope(); s.placementRequest.Levels == nil || scope != s.placementRequest.Scope {
+		s.placementRequest.Scope = scope
+		s.placementRequest.Levels = prefixLevels(scope, s.metadata.Parts)
+	}
+}
+
 // runAttempts sends the request until it is answered or no further attempt is allowed.
 func (s *session) runAttempts(ctx context.Context) {
 	var lastErr error
@@ -166,6 +183,7 @@
 			return
 		}
 		s.placementRequest.Begun = s.begun
+		s.setScope()
 		p, err := s.f.place(ctx, s.placementRequest)
 		if err != nil {
 			s.placementFailed(ctx, err, lastErr)
@@ -199,8 +217,13 @@
 	if s.placementRequest.Account != nil {
 		account = s.placementRequest.Account.Name
 	}
+	salt := ""
+	if p.Salt != nil {
+		// The scope may have changed while the request was queued.
+		salt = p.Salt(s.scope())
+	}
 	s.f.dialect.WriteRequest(header, UpstreamMetadata{
-		Request: &s.metadata, Account: account, Upstream: p.Upstream.ID, Remaining: time.Until(s.placementRequest.Deadline), Salt: p.Salt, Weights: p.Weights,
+		Request: &s.metadata, Account: account, Upstream: p.Upstream.ID, Remaining: time.Until(s.placementRequest.Deadline), Salt: salt, Weights: p.Weights,
 		Priority: p.Priority, FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, LastEventID: s.lastEventID,
 	})
 	if s.sends == 0 {
--- a/relay/route/route_test.go
+++ b/relay/route/route_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +34,15 @@
 	return route.NewTable(state)
 }
 
+// tableOf returns a table under which the named accounts are isolated.
+func tableOf(isolated string) *route.Table {
+	state := &route.State{}
+	for _, name := range strings.Fields(isolated) {
+		state.Accounts = append(state.Accounts, route.Account{Name: name, Isolated: true})
+	}
+	return route.NewTable(state)
+}
+
 var _ = Describe("the route table", func() {
 	DescribeTable("returns the route with the longest prefix of the path, or none, for",
 		func(host, path, name string) {
@@ -57,6 +68,66 @@
 		Expect(t.Account("")).To(BeNil())
 	})
 
+	DescribeTable("gives accounts one scope of cached prompts",
+		func(before, after string, accountBefore, accountAfter string, same bool) {
+			scope := func(isolated, account string) string {
+				scope, _ := tableOf(isolated).Scope(&route.Account{Name: account})
+				return scope
+			}
+			if same {
+				Expect(scope(after, accountAfter)).To(Equal(scope(before, accountBefore)))
+			} else {
+				Expect(scope(after, accountAfter)).NotTo(Equal(scope(before, accountBefore)))
+			}
+		},
+		Entry("if neither is isolated", "c", "c", "a", "b", true),
+		Entry("if neither is isolated, whatever the order of the isolated ones", "c d", "d c", "a", "b", true),
+		Entry("again when the same ones are isolated again", "c", "c", "a", "a", true),
+		Entry("not if one is isolated", "a", "a", "a", "b", false),
+		Entry("not if both are isolated", "a b", "a b", "a", "b", false),
+		Entry("not when one of the others has become isolated", "", "c", "a", "b", false),
+		Entry("not when an isolated one takes the place of another", "c", "d", "a", "b", false),
+		Entry("not if the names of the isolated ones only look alike when joined", "a bc", "ab c", "x", "x", false),
+		Entry("not if an isolated account has a scope's name", "c", "shared/", "a", "shared/", false),
+	)
+
+	It("isolates an account without a name, and one of which only one of two entries is isolated", func() {
+		state := &route.State{Accounts: []route.Account{{Name: "", Isolated: true}, {Name: "a"}, {Name: "a", Isolated: true}}}
+		for i := range state.Accounts {
+			_, isolated := route.NewTable(state).Scope(&state.Accounts[i])
+			Expect(isolated).To(BeTrue(), "account %d", i)
+		}
+	})
+
+	// Guards against a process that shares what others keep apart, or keeps what an account shared before it became isolated: VMs with any
+	// desired states, in any order, never share the cached prompts of accounts one of which is isolated under the state in use.
+	It("never finds prompts of another account under a table that isolates one of the two, after any series of desired states", func() {
+		names := []string{"a", "b", "c", "d"}
+		for seed := range uint64(200) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			makers := map[string]map[string]bool{}
+			for range 200 {
+				var isolated []string
+				for _, name := range names {
+					if random.IntN(3) == 0 {
+						isolated = append(isolated, name)
+					}
+				}
+				table, name := tableOf(strings.Join(isolated, " ")), names[random.IntN(len(names))]
+				scope, own := table.Scope(&route.Account{Name: name})
+				for maker := range makers[scope] {
+					if maker != name {
+						Expect(own || slices.Contains(isolated, maker)).To(BeFalse(), "seed %d: %s uses a prompt of %s while %v are isolated", seed, name, maker, isolated)
+					}
+				}
+				if makers[scope] == nil {
+					makers[scope] = map[string]bool{}
+				}
+				makers[scope][name] = true
+			}
+		}
+	})
+
 	It("splits requests by weight and sends none to a service of weight 0", func() {
 		r := table().Route("jepu9.example", "/a/b/")
 		Expect(r.PickService(0)).To(Equal("engines"))
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -2,8 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
+	"maps"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -13,6 +16,9 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	accounts map[[sha256.Size]byte]*Account
+	// isolated has the names of the isolated accounts; sharedScope is the scope that all others share.
+	isolated    map[string]bool
+	sharedScope string
 }
 
 // NewTable indexes a checked state.
@@ -37,9 +43,41 @@
 			t.accounts[sha256.Sum256([]byte(key))] = &s.Accounts[i]
 		}
 	}
+	t.isolated = isolatedAccounts(s.Accounts)
+	t.sharedScope = sharedScope(t.isolated)
 	return t
 }
 
+func isolatedAccounts(accounts []Account) map[string]bool {
+	isolated := map[string]bool{}
+	for i := range accounts {
+		if accounts[i].Isolated {
+			isolated[accounts[i].Name] = true
+		}
+	}
+	return isolated
+}
+
+// The scopes of an isolated account and of all others begin differently, so that no account's name can be that of a shared scope.
+const (
+	ownScopePrefix    = "account/"
+	sharedScopePrefix = "shared/"
+)
+
+// sharedScope returns the scope of the accounts that are not isolated. It is named after the set of the isolated ones: whoever cached a
+// prompt in it was not isolated under the same set. VMs need no history to agree on it, and an account that becomes isolated leaves
+// what it has cached so far in a scope that nobody uses any more.
+func sharedScope(isolated map[string]bool) string {
+	if len(isolated) == 0 {
+		return ""
+	}
+	digest := sha256.New()
+	for _, name := range slices.Sorted(maps.Keys(isolated)) {
+		_, _ = digest.Write([]byte(strconv.Itoa(len(name)) + ":" + name)) // A hash never returns an error.
+	}
+	return sharedScopePrefix + hex.EncodeToString(digest.Sum(nil)[:8])
+}
+
 // Route returns the route of the host with the longest prefix of the path, or nil.
 func (t *Table) Route(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -60,6 +98,15 @@
 // key has in common with a valid one.
 func (t *Table) Account(key string) *Account { return t.accounts[sha256.Sum256([]byte(key))] }
 
+// Scope returns the scope within which the requests of an account share cached prompts, and whether the account is isolated. The account
+// may be that of an earlier table, or nil for requests without a key.
+func (t *Table) Scope(account *Account) (scope string, isolated bool) {
+	if account != nil && t.isolated[account.Name] {
+		return ownScopePrefix + account.Name, true
+	}
+	return t.sharedScope, false
+}
+
 // RequiresKey reports whether requests need a key.
 func (t *Table) RequiresKey() bool { return t.State.Accounts != nil }
 
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -228,12 +228,15 @@
 	}
 }
 
+// maxSalts bounds the salts that a group keeps: each change of the isolated accounts adds one.
+const maxSalts = 4096
+
 // salt returns the hash of the salt under which an account's parts are cached at the group's engines.
 func (g *group) salt(c *Core, account string) uint64 {
 	if salt, ok := g.salts[account]; ok {
 		return salt
 	}
-	if g.salts == nil {
+	if g.salts == nil || len(g.salts) >= maxSalts {
 		g.salts = map[string]uint64{}
 	}
 	salt := xxhash.Sum64String(c.saltOf(account, g.version))
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -247,9 +247,10 @@
 	if ticket.SaveTo.Name != "" {
 		save = ticket.SaveTo.Address
 	}
-	incarnation := incarnationOf(u)
+	incarnation, version := incarnationOf(u), routing.Version{Model: ticket.Upstream.Model, Weights: ticket.Upstream.Weights}
 	return &forward.Placement{
-		Upstream: u, Weights: weights, Priority: enginePriority(ticket.Priority, r), Salt: cacheSalt(r.Scope, routing.Version{Model: ticket.Upstream.Model, Weights: ticket.Upstream.Weights}), FetchFrom: fetch, SaveTo: save,
+		Upstream: u, Weights: weights, Priority: enginePriority(ticket.Priority, r), FetchFrom: fetch, SaveTo: save,
+		Salt:  func(scope string) string { return cacheSalt(scope, version) },
 		Begin: func() { ticket.FirstToken(incarnation) },
 		Finish: func(h forward.AnswerMetadata) {
 			p.correctWeights(u, r, h)
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -55,8 +55,10 @@
 		return
 	}
 	desired.Number = c.Desired.Number
-	s.table.Store(route.NewTable(desired))
-	s.log.WithFields(log.Fields{"number": desired.Number, "version": c.Version, "routes": len(desired.Routes), "accounts": len(desired.Accounts)}).Info("desired state installed")
+	table := route.NewTable(desired)
+	s.table.Store(table)
+	scope, _ := table.Scope(nil)
+	s.log.WithFields(log.Fields{"number": desired.Number, "version": c.Version, "routes": len(desired.Routes), "accounts": len(desired.Accounts), "scope": scope}).Info("desired state installed")
 	s.onChange()
 }
 
