Replicate the time at which weights are named, and count their age from there on every VM

Seen by callers: answers made on weights that had been replaced for up to 13 s, where 8 s are allowed (VERSION), from entry VMs that had been restarted, killed or without power since. Cause: the routing core dated a version by its receipt, so that a VM that starts 7 s after the naming allowed older weights for 7.1 s more. The same for a suspended machine, whose clock misses the time, for versions that a VM has never seen since newer ones replaced them in the configuration, and for services that are added after the naming. Change: the leader records the time of the replicated log in the command that names weights, with the namings before it; VMs compute the age from the time that comes with their lease, and check it twice a second. It is in the command, so that control VMs of different releases store equal values.

--- a/relay/catalogue/catalogue.go
+++ b/relay/catalogue/catalogue.go
@@ -28,7 +28,8 @@
 	KindOperator  = "operator"
 	// KindDesired is the kind of the whole desired state, whose version number operators choose; its only object is named DesiredName.
 	KindDesired = "desired"
-	// KindWeights is the kind of a model's newest weights version; the object has the model's name, and its number is the version.
+	// KindWeights is the kind of a model's newest weights version; the object has the model's name, its number is the version, and its
+	// content the latest namings.
 	KindWeights = "weights"
 )
 
@@ -51,8 +52,8 @@
 	Rules      []Rule
 	Operators  map[string]Operator
 	Desired    Desired
-	// Weights maps each model to the newest weights version that an operator set for it.
-	Weights map[string]uint64
+	// Weights maps each model to the newest weights version that an operator named for it.
+	Weights map[string]Weights
 
 	accountsByKey  map[string]string
 	operatorsByKey map[string]string
@@ -65,7 +66,7 @@
 		Accounts:       map[string]Account{},
 		Assistants:     map[string]Assistant{},
 		Operators:      map[string]Operator{},
-		Weights:        map[string]uint64{},
+		Weights:        map[string]Weights{},
 		accountsByKey:  map[string]string{},
 		operatorsByKey: map[string]string{},
 	}
@@ -86,7 +87,7 @@
 		c.Desired = Desired{Number: number, Document: content}
 		return nil
 	case KindWeights:
-		c.Weights[object.Name] = number
+		c.Weights[object.Name] = DecodeWeights(object.Value)
 		return nil
 	}
 	value, err := Decode(object)
--- a/relay/control/encode.go
+++ b/relay/control/encode.go
@@ -11,6 +11,7 @@
 	"github.com/chicoryrelay/chicoryrelay/coord/ledger"
 	"github.com/chicoryrelay/chicoryrelay/coord/registry"
 	"github.com/chicoryrelay/chicoryrelay/coord/wire"
+	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 )
 
@@ -22,17 +23,35 @@
 	Read   *registry.ReadResult
 }
 
-// stampTime sets a command's time to the leader's wall clock, so that a submitter's wrong clock doesn't shift retention deadlines.
-func stampTime(command []byte, wall time.Time) ([]byte, *wire.RegistryCommand, error) {
+// stamp sets a command's time to the leader's clock, so that a submitter's wrong clock doesn't shift retention deadlines, and records
+// the time in a command that names weights. It is part of the command so that control VMs of all releases store the same value.
+func stamp(command []byte, now time.Time, objects configuration.Objects) ([]byte, *wire.RegistryCommand, error) {
 	message := &wire.RegistryCommand{}
 	if err := proto.Unmarshal(command, message); err != nil {
 		return nil, nil, oops.Hint("run the same release on all VMs").Wrapf(err, "decode submitted command")
 	}
-	message.Time = wall.UnixMilli()
+	message.Time = now.UnixMilli()
+	if object := namedWeights(message); object != nil {
+		stored, _ := objects.Get(object.GetKind(), object.GetName())
+		version := catalogue.DecodeWeights(object.GetValue()).Version
+		object.Value = catalogue.DecodeWeights(stored).WithNaming(version, now).Encode()
+	}
 	stamped, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
 	return stamped, message, err
 }
 
+// namedWeights returns the object of a command that names weights, or nil.
+func namedWeights(message *wire.RegistryCommand) *wire.RegistryObject {
+	change := message.GetPropose()
+	if !change.GetNumbered() || len(change.GetEdits()) != 1 {
+		return nil
+	}
+	if object := change.GetEdits()[0].GetObject(); object.GetKind() == catalogue.KindWeights {
+		return object
+	}
+	return nil
+}
+
 func encodeResult(id, boot uint64, reply registry.Reply) *peer.Submitted {
 	m := &peer.Submitted{Id: id, Boot: boot}
 	switch {
--- a/relay/control/simulation_test.go
+++ b/relay/control/simulation_test.go
@@ -60,6 +60,8 @@
 	wipedDisks int
 	operators  *operators
 	calls      *callers
+	// namer is nil in runs without weights.
+	namer *namer
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -150,9 +152,11 @@
 				v.tickedAt = s.now
 				s.handleInput(v, func() (control.Effects, error) { return v.node.Tick(s.clockReading(v)) })
 				s.calls.tick(v)
+				s.namer.check(v)
 			}
 		}
 		s.operators.tick()
+		s.namer.tick()
 		s.calls.sendRequest()
 	}
 }
@@ -193,6 +197,10 @@
 	Expect(v.node.Version()).To(BeNumerically(">=", v.installedVersion), "%s reverted from version %d", v.name, v.installedVersion)
 	v.installedVersion = v.node.Version()
 	for _, result := range effects.Results {
+		if result.ID >= firstNamingID {
+			s.namer.handleResult(result)
+			continue
+		}
 		s.operators.handleResult(v, result)
 		s.calls.handleResult(v, result)
 	}
--- a/relay/control/voter.go
+++ b/relay/control/voter.go
@@ -243,12 +243,12 @@
 	if n.voter == nil {
 		return nil
 	}
-	command, message, err := stampTime(m.GetCommand(), n.at.Wall)
+	command, message, err := stamp(m.GetCommand(), n.registryTime(), n.voter.machine.Configuration().Objects())
 	if err != nil {
 		n.notice("command refused", from+": "+err.Error())
 		return nil
 	}
-	if n.expectsPending(message) {
+	if n.expectsPending(message) || n.namesWeightsEarly(message) {
 		return nil
 	}
 	return n.propose(command, to)
@@ -262,6 +262,12 @@
 	return n.voter.isLeader && change != nil && !change.GetNumbered() && pending && change.GetExpected() == version
 }
 
+// namesWeightsEarly reports whether a command names weights while this leader has not applied all entries of earlier leaders, so that
+// the namings that it would record lack some of theirs. It gets no reply, so that the VM resends it.
+func (n *Node) namesWeightsEarly(message *wire.RegistryCommand) bool {
+	return n.voter.isLeader && !n.voter.Leads() && namedWeights(message) != nil
+}
+
 func (n *Node) propose(command []byte, to submitter) error {
 	v := n.voter
 	effects, err := v.core.Propose(n.at.Now, command)
--- a/relay/routing/core.go
+++ b/relay/routing/core.go
@@ -39,8 +39,8 @@
 	waste    Waste
 	// cachedTokens are the leading tokens of the request being planned that each upstream or store has, by cache handle.
 	cachedTokens []int32
-	// announced are the weights versions announced for each model, oldest first.
-	announced map[string][]announcement
+	// named are the weights versions named for each model, oldest first.
+	named     map[string][]namedVersion
 	partIndex *partIndex
 	lanes     map[string]*shortLane
 	// laneRanks are the engines of the cell in the order in which they are set aside, by model; nil after a change of the engines.
@@ -73,7 +73,7 @@
 		flights:   map[string]*flight{},
 		demand:    newDemand(s.times.HalfLife),
 		peers:     map[string]*peerState{},
-		announced: map[string][]announcement{},
+		named:     map[string][]namedVersion{},
 		partIndex: newPartIndex(),
 		lanes:     map[string]*shortLane{},
 		stores:    map[string]*store{},
--- a/relay/routing/messages.go
+++ b/relay/routing/messages.go
@@ -94,11 +94,13 @@
 	Blocks      []cache.Block
 }
 
-// NewestWeights announces the newest weights version of a model, a decimal number; other names are ignored. Requests go to engines that
-// serve it once enough do.
-type NewestWeights struct {
+// NamedWeights announces that an operator named a weights version of a model, a decimal number; other names are ignored. Requests go to
+// engines that serve the newest one once enough do.
+type NamedWeights struct {
 	Model   string
 	Weights string
+	// Age is the time since the version was named; of several messages for one version the earliest naming counts.
+	Age time.Duration
 }
 
 // CellSpan sets the span of the cell: the VMs that this one shares load and part reports with. It knows little of engines outside.
--- a/relay/routing/options.go
+++ b/relay/routing/options.go
@@ -39,7 +39,7 @@
 	StaleAfter time.Duration
 	// HalfLife is the time after which a use of a prefix counts half in its demand.
 	HalfLife time.Duration
-	// OutdatedAfter is the time after newer weights were announced from which no request starts on older ones; 0 means never.
+	// OutdatedAfter is the time after newer weights were named from which no request starts on older ones; 0 means never.
 	OutdatedAfter time.Duration
 }
 
--- a/relay/routing/reuse_test.go
+++ b/relay/routing/reuse_test.go
@@ -183,7 +183,7 @@
 			}
 		}
 		core := newReuseCore(4, weights)
-		core.Step(0, routing.NewestWeights{Model: "m", Weights: "2"})
+		core.Step(0, routing.NamedWeights{Model: "m", Weights: "2"})
 		for i := range 6 {
 			now := 2*time.Second + time.Duration(i)*50*time.Millisecond
 			r := requestWithParts(fmt.Sprint(i), 500, 300)
@@ -204,6 +204,48 @@
 	})
 })
 
+var _ = Describe("weights versions", func() {
+	// usable returns whether a new core, which learns of the namings at the given time, sends requests to engines on a version.
+	usable := func(now time.Duration, version string, namings ...routing.NamedWeights) bool {
+		core := newReuseCore(2, func(_ int, u *catalogue.Upstream) { u.Weights = version })
+		for _, naming := range namings {
+			core.Step(now, naming)
+		}
+		return core.Decide(now, requestWithParts("r", 500, 300)).Refusal == nil
+	}
+	named := func(version string, age time.Duration) routing.NamedWeights {
+		return routing.NamedWeights{Model: "m", Weights: version, Age: age}
+	}
+
+	// Guards against a VM that counts the age of a version from its own start.
+	It("make older ones outdated by the time since their naming, not since this VM has learned of it", func() {
+		Expect(usable(time.Second, "1", named("2", 6900*time.Millisecond))).To(BeTrue())
+		Expect(usable(time.Second, "1", named("2", 7*time.Second))).To(BeFalse())
+		Expect(usable(time.Second, "2", named("2", time.Hour))).To(BeTrue())
+	})
+
+	It("make all older ones outdated that the next version after them does, whatever was named since, in any order of learning", func() {
+		namings := []routing.NamedWeights{named("5", 2*time.Second), named("3", 8*time.Second), named("4", 5*time.Second)}
+		for version, want := range map[string]bool{"1": false, "2": false, "3": true, "4": true, "5": true} {
+			Expect(usable(time.Second, version, namings...)).To(Equal(want), "version %s", version)
+			Expect(usable(time.Second, version, namings[2], namings[0], namings[1])).To(Equal(want), "version %s", version)
+		}
+	})
+
+	It("count from their earliest naming when another time is learned", func() {
+		Expect(usable(time.Second, "1", named("2", time.Second), named("2", 8*time.Second))).To(BeFalse())
+		Expect(usable(time.Second, "1", named("2", 8*time.Second), named("2", time.Second))).To(BeFalse())
+	})
+
+	It("remain outdated when more versions are named than are kept", func() {
+		namings := []routing.NamedWeights{named("2", 8*time.Second)}
+		for i := range 20 {
+			namings = append(namings, named(fmt.Sprint(3+i), time.Second))
+		}
+		Expect(usable(time.Second, "1", namings...)).To(BeFalse())
+	})
+})
+
 // sendChecks sends n checks, which are long requests that share the parts of a book, to an engine that has the book cached. Their
 // answers don't end.
 func sendChecks(core *routing.Core, n int) (engine string) {
--- a/relay/routing/version.go
+++ b/relay/routing/version.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -25,17 +26,17 @@
 	return c.groupBySlots(now, r, regions, nil)
 }
 
-// announcement is a weights version announced for a model, and when this VM learned of it.
-type announcement struct {
-	weights   uint64
-	learnedAt time.Duration
+// namedVersion is a weights version that an operator named for a model, and when.
+type namedVersion struct {
+	weights uint64
+	at      time.Duration
 }
 
-// maxAnnouncements bounds the announcements kept for a model.
-const maxAnnouncements = 16
+// maxNamedVersions bounds the versions kept for a model.
+const maxNamedVersions = 16
 
 const (
-	// preferNewestAfter is the time after an announcement of weights from which requests avoid older ones: answers made on these lose
+	// preferNewestAfter is the time after the naming of weights from which requests avoid older ones: answers made on these lose
 	// worth soon after.
 	preferNewestAfter = 1300 * time.Millisecond
 	// preferNewestShare is the share of the serving slots that must serve the newest weights before they get all requests.
@@ -83,33 +84,38 @@
 	return best
 }
 
-// older reports whether newer weights than the group's were announced at least preferNewestAfter ago.
+// older reports whether newer weights than the group's were named at least preferNewestAfter ago.
 func (c *Core) older(now time.Duration, g *group) bool {
-	list := c.announced[g.version.Model]
-	if len(list) == 0 || now < list[len(list)-1].learnedAt+preferNewestAfter {
+	list := c.named[g.version.Model]
+	if len(list) == 0 || now < list[len(list)-1].at+preferNewestAfter {
 		return false
 	}
 	return g.version.Weights != strconv.FormatUint(list[len(list)-1].weights, 10)
 }
 
-func (m NewestWeights) apply(c *Core, now time.Duration, _ *Effects) {
+func (m NamedWeights) apply(c *Core, now time.Duration, _ *Effects) {
 	version, err := strconv.ParseUint(m.Weights, 10, 64)
 	if err != nil {
 		return
 	}
-	list := c.announced[m.Model]
-	if len(list) > 0 && list[len(list)-1].weights >= version {
-		return
+	list := c.named[m.Model]
+	i, known := slices.BinarySearchFunc(list, version, func(n namedVersion, v uint64) int { return cmp.Compare(n.weights, v) })
+	if known {
+		list[i].at = min(list[i].at, now-m.Age)
+	} else {
+		list = slices.Insert(list, i, namedVersion{weights: version, at: now - m.Age})
 	}
-	if len(list) >= maxAnnouncements {
-		list = slices.Clone(list[1:])
+	if len(list) > maxNamedVersions {
+		// What the dropped version has made outdated remains so.
+		list[1].at = min(list[0].at, list[1].at)
+		list = list[1:]
 	}
-	c.announced[m.Model] = append(list, announcement{weights: version, learnedAt: now})
+	c.named[m.Model] = list
 }
 
-// outdated reports whether newer weights than the group's were announced so long ago that no request may start on the group's.
+// outdated reports whether newer weights than the group's were named so long ago that no request may start on the group's.
 func (c *Core) outdated(now time.Duration, g *group) bool {
-	list := c.announced[g.version.Model]
+	list := c.named[g.version.Model]
 	if c.times.OutdatedAfter == 0 || len(list) == 0 {
 		return false
 	}
@@ -119,7 +125,7 @@
 	}
 	for _, n := range list {
 		if n.weights > version {
-			return now >= n.learnedAt+c.times.OutdatedAfter
+			return now >= n.at+c.times.OutdatedAfter
 		}
 	}
 	return false
@@ -127,15 +133,15 @@
 
 // newestGroup returns the group of the newest weights if all requests are to go there, or nil.
 func (c *Core) newestGroup(now time.Duration, r *Request, regions uint64) *group {
-	list := c.announced[r.Model]
+	list := c.named[r.Model]
 	if len(list) == 0 {
 		return nil
 	}
-	announced := list[len(list)-1]
-	if now < announced.learnedAt+preferNewestAfter {
+	newest := list[len(list)-1]
+	if now < newest.at+preferNewestAfter {
 		return nil
 	}
-	g := c.groups[Version{r.Model, r.Adapter, strconv.FormatUint(announced.weights, 10)}]
+	g := c.groups[Version{r.Model, r.Adapter, strconv.FormatUint(newest.weights, 10)}]
 	if g == nil {
 		return nil
 	}
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -101,13 +101,15 @@
 }
 
 func newHost(s *state, node *control.Node, mesh *peerMesh, logger log.Interface) *control.Host {
-	return control.NewHost(node, control.WithLog(logger), control.WithConfigurationHandler(s.install), control.WithRosterHandler(func(r *peer.Roster) {
+	host := control.NewHost(node, control.WithLog(logger), control.WithConfigurationHandler(s.install), control.WithRosterHandler(func(r *peer.Roster) {
 		s.vms.Store(r)
 		mesh.setRoster(r)
 		s.onChange()
 	}), control.WithBoardHandler(func(b *peer.Board) {
 		s.setList(directory.Decode(b), s.now(), "leader")
 	}))
+	s.registryTime = func() time.Time { return host.View().RegistryTime(host.Now()) }
+	return host
 }
 
 // peerMesh maintains the sessions to the VMs that this VM exchanges messages with. Control VMs are dialled by all others; of two
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -79,11 +79,13 @@
 	balance     *balance.Core
 	configured  []catalogue.Upstream
 	configureMu sync.Mutex
+	namingsMu   sync.Mutex
+	namings     namings
 }
 
 func newPlacer(s settings.Settings, st *state, d *dispatch.Dispatcher, pauses *pause.Registry, logger log.Interface) *placer {
 	p := &placer{
-		settings: s, state: st, dispatch: d, pauses: pauses, log: logger,
+		settings: s, state: st, dispatch: d, pauses: pauses, log: logger, namings: namings{},
 		balance: balance.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 2))),
 	}
 	st.onChange = p.configure
@@ -125,9 +127,7 @@
 		}
 	}
 	engines = append(engines, p.stores(table)...)
-	if weights := p.state.weights.Load(); weights != nil {
-		p.notifyWeights(table, *weights)
-	}
+	p.notifyWeights()
 	if slices.Equal(engines, p.configured) {
 		return
 	}
@@ -170,21 +170,6 @@
 // storeName returns the name of a store in the routing core, whose prefix separates it from the IDs of upstreams.
 func storeName(service *route.Service) string { return "store/" + service.Name }
 
-// notifyWeights notifies the routing core of the newest weights versions.
-func (p *placer) notifyWeights(table *route.Table, weights map[string]uint64) {
-	for i := range table.State.Services {
-		service := &table.State.Services[i]
-		if service.Engine == nil {
-			continue
-		}
-		for _, model := range service.Engine.Models {
-			if version := weights[model]; version > 0 {
-				p.dispatch.Notify(routing.NewestWeights{Model: modelKey(service.Name, model), Weights: strconv.FormatUint(version, 10)})
-			}
-		}
-	}
-}
-
 // place chooses the upstream for one attempt of a request.
 func (p *placer) place(ctx context.Context, r *forward.PlacementRequest) (*forward.Placement, error) {
 	if r.Service == nil {
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -20,7 +20,7 @@
 	started time.Time
 	table   atomic.Pointer[route.Table]
 	list    atomic.Pointer[directory.List]
-	weights atomic.Pointer[map[string]uint64]
+	weights atomic.Pointer[map[string]catalogue.Weights]
 	vms     atomic.Pointer[peer.Roster]
 	// departures is the number of upstreams that have announced that they leave, so that most answers need no lock.
 	departures atomic.Int64
@@ -29,13 +29,15 @@
 	directory *directory.Directory
 	// listedAt is when the newest list in the directory was read, on the clock of the control state.
 	listedAt time.Duration
+	// registryTime returns the time of the replicated log, zero until a control VM has told it. It is set while the components are built.
+	registryTime func() time.Time
 	// onChange is called after each change of the routes, weights versions, upstreams or roster, in part while mu is locked. It is
 	// set while the components are built.
 	onChange func()
 }
 
 func newState(adapter Adapter, logger log.Interface) *state {
-	return &state{adapter: adapter, log: logger, started: time.Now(), directory: directory.New(), onChange: func() {}}
+	return &state{adapter: adapter, log: logger, started: time.Now(), directory: directory.New(), registryTime: func() time.Time { return time.Time{} }, onChange: func() {}}
 }
 
 // now returns the directory's clock.
