Take the replicated log's time from the leader's replies only

Cause: a lease holder took the time of every reply, also of control VMs that do not lead, whose clocks may be ahead or behind while a clock is wrong. Change: a reply that names no leader changes nothing.

--- a/coord/lease/holder.go
+++ b/coord/lease/holder.go
@@ -74,7 +74,8 @@
 		return false
 	}
 	h.sequence = max(h.sequence, reply.Sequence)
-	if !reply.Time.IsZero() && reply.Sent >= h.registryTimeSent {
+	// Only the leader's clock counts; that of another control VM may be ahead or behind.
+	if reply.Reason != NotLeader && !reply.Time.IsZero() && reply.Sent >= h.registryTimeSent {
 		h.registryTime, h.registryTimeSent = reply.Time, reply.Sent
 	}
 	if reply.Reason == Granted {
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -147,6 +147,15 @@
 		Expect(holder.Sequence()).To(Equal(uint64(7)))
 	})
 
+	// Guards against the clock of a control VM that does not lead, and may be ahead or behind.
+	It("keeps the leader's time when another control VM replies that it does not lead", func() {
+		granted, refused := reply(holder.Request(second, 0), lease.Granted), reply(holder.Request(2*second, 0), lease.NotLeader)
+		granted.Time, refused.Time = time.UnixMilli(10_000), time.UnixMilli(14_000)
+		holder.Receive(granted)
+		holder.Receive(refused)
+		Expect(holder.Time(second)).To(Equal(time.UnixMilli(10_000)))
+	})
+
 	It("requests renewal at every renewal interval and has no valid lease after Release", func() {
 		request := holder.Request(second, 0)
 		holder.Receive(reply(request, lease.Granted))
