Don't take requests that an engine breaks off for new weights for a crash

Seen by callers: while weights are rolled out on a site with long streams, streams broken off and requests refused for ten minutes as quarantined, though no engine had ended; engines avoided for seconds after each load. Cause: an eviction ends connections like a crash. Three engines that load in turn, without an answer with the same part in between, look like three crashes under that part; and each request that had no token yet doubles the time for which the engine is avoided. Change: what an engine that is out of rotation for new weights breaks off is neither a crash nor a failure of it. The board says so 600 ms before the order.

--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -248,12 +248,20 @@
 		},
 		Fail: func(f forward.Failure) {
 			p.handleFailure(u, r, f)
-			ticket.Fail(dispatch.Failure{Sent: f.Sent, Received: f.Received, NotRun: f.NotRun, Ended: f.Ended})
+			// An order for new weights breaks off requests at a sound engine: that is neither a crash nor a reason to avoid it afterwards.
+			evicted := f.Ended && p.loading(u.ID)
+			ticket.Fail(dispatch.Failure{Sent: f.Sent, Received: f.Received || evicted, NotRun: f.NotRun, Ended: f.Ended && !evicted})
 		},
 		Cancel: ticket.Cancel,
 	}, nil
 }
 
+// loading reports whether an engine is out of rotation for new weights, for which it breaks off the requests in progress.
+func (p *placer) loading(id string) bool {
+	u := p.state.list.Load().Find(id)
+	return u != nil && u.Loading
+}
+
 // sharedParts returns the parts that other requests may have too: the last one belongs to the request or its session.
 func sharedParts(hashes []uint64) []uint64 { return hashes[:max(0, len(hashes)-1)] }
 
