Let the retry budget slide: what was used is available again after ten seconds

Cause: the slack was the size of a token bucket that only requests refilled, at the ratio. It was used once, and a VM that starts, which began with its part as one of 32 VMs, never got the rest, since a change of the number of VMs adds nothing. Change: admission.WindowBudget counts requests and retries in steps of half a second: in any ten seconds, retries are at most the ratio of the requests in that span plus the part of the slack.

--- /dev/null
+++ b/relay/admission/window.go
@@ -0,0 +1,56 @@
+package admission
+
+import "time"
+
+// windowSteps is the number of steps in which a window slides.
+const windowSteps = 20
+
+// WindowBudget allows extra work in any span of a window: a ratio of the ordinary work in that span, and a slack.
+type WindowBudget struct {
+	window time.Duration
+	// step is the number of the newest step; the counts of step n are at n modulo their number, which includes the one that is
+	// sliding out.
+	step            int64
+	ordinary, extra [windowSteps + 1]int
+}
+
+// NewWindowBudget returns a budget for spans of the window.
+func NewWindowBudget(window time.Duration) *WindowBudget { return &WindowBudget{window: window} }
+
+// advance clears the steps that have slid out of the window; a time that goes back changes nothing.
+func (b *WindowBudget) advance(now time.Duration) {
+	step := int64(now * windowSteps / b.window)
+	for n := max(b.step+1, step-windowSteps); n <= step; n++ {
+		b.ordinary[n%(windowSteps+1)], b.extra[n%(windowSteps+1)] = 0, 0
+	}
+	b.step = max(b.step, step)
+}
+
+// Deposit counts a piece of ordinary work.
+func (b *WindowBudget) Deposit(now time.Duration) {
+	b.advance(now)
+	b.ordinary[b.step%(windowSteps+1)]++
+}
+
+// CanWithdraw reports whether Withdraw would succeed.
+func (b *WindowBudget) CanWithdraw(now time.Duration, ratio, slack float64) bool {
+	b.advance(now)
+	// The step that is sliding out counts in part: its extra work may still be in the span, its ordinary work may not.
+	ordinary, extra := 0, 0
+	for i := range b.extra {
+		extra += b.extra[i]
+		if int64(i) != (b.step+1)%(windowSteps+1) {
+			ordinary += b.ordinary[i]
+		}
+	}
+	return float64(extra+1) <= ratio*float64(ordinary)+slack
+}
+
+// Withdraw counts a piece of extra work if the budget allows it, and reports whether it does.
+func (b *WindowBudget) Withdraw(now time.Duration, ratio, slack float64) bool {
+	if !b.CanWithdraw(now, ratio, slack) {
+		return false
+	}
+	b.extra[b.step%(windowSteps+1)]++
+	return true
+}
