Let orders for new weights break off no more requests than the VMs may repeat

Cause: the leader orders an engine to load after 600 ms of draining, whatever runs there. It does not know what the VMs may repeat. Change: a VM with callers tells the leader with each lease request how many requests it may repeat. An engine that drains is ordered to load only if the requests that this interrupts and can be repeated are no more than that, less what the orders of the last second have interrupted, or once four fifths of times.weights have passed since the first newer version was named. VMs of earlier releases tell nothing, which sets no limit.

--- a/relay/admission/window.go
+++ b/relay/admission/window.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // windowSteps is the number of steps in which a window slides.
 const windowSteps = 20
@@ -32,8 +35,8 @@
 	b.ordinary[b.step%(windowSteps+1)]++
 }
 
-// CanWithdraw reports whether Withdraw would succeed.
-func (b *WindowBudget) CanWithdraw(now time.Duration, ratio, slack float64) bool {
+// Left returns the extra work that the budget allows now, which is negative if the limits have become smaller.
+func (b *WindowBudget) Left(now time.Duration, ratio, slack float64) int {
 	b.advance(now)
 	// The step that is sliding out counts in part: its extra work may still be in the span, its ordinary work may not.
 	ordinary, extra := 0, 0
@@ -43,12 +46,12 @@
 			ordinary += b.ordinary[i]
 		}
 	}
-	return float64(extra+1) <= ratio*float64(ordinary)+slack
+	return int(math.Floor(ratio*float64(ordinary)+slack)) - extra
 }
 
 // Withdraw counts a piece of extra work if the budget allows it, and reports whether it does.
 func (b *WindowBudget) Withdraw(now time.Duration, ratio, slack float64) bool {
-	if !b.CanWithdraw(now, ratio, slack) {
+	if b.Left(now, ratio, slack) < 1 {
 		return false
 	}
 	b.extra[b.step%(windowSteps+1)]++
--- a/relay/control/leader.go
+++ b/relay/control/leader.go
@@ -151,7 +151,7 @@
 	incarnation := lease.Incarnation{VM: request.VM, Boot: request.Boot}
 	v.confirmLeases()
 	v.granter.Acknowledge(incarnation, request.Installed)
-	v.vmInfos[request.VM] = vmInfo{centre: m.GetCentre(), servesCallers: m.GetCallers()}
+	v.vmInfos[request.VM] = vmInfo{centre: m.GetCentre(), servesCallers: m.GetCallers(), retries: int(m.GetRetries())}
 	newest := v.machine.Configuration().Newest()
 	reply := v.granter.Grant(n.at.Now, request, newest)
 	grant := &peer.LeaseGrant{
--- a/relay/control/lease.go
+++ b/relay/control/lease.go
@@ -26,10 +26,14 @@
 		return
 	}
 	r := n.holder.Request(n.at.Now, n.config.Version())
-	n.send(to, &peer.Envelope{Body: &peer.Envelope_LeaseRequest{LeaseRequest: &peer.LeaseRequest{
+	request := &peer.LeaseRequest{
 		Vm: r.VM, Boot: r.Boot, Installed: r.Installed, Sent: int64(r.Sent),
 		Centre: n.vmInfo.centre, Callers: n.vmInfo.servesCallers, Roster: n.roster.GetChecksum(), Board: n.board.GetChecksum(),
-	}}})
+	}
+	if n.retries != nil {
+		request.Retries = uint32(n.retries()) + 1
+	}
+	n.send(to, &peer.Envelope{Body: &peer.Envelope_LeaseRequest{LeaseRequest: request}})
 }
 
 func (n *Node) receiveLeaseGrant(from string, m *peer.LeaseGrant) error {
--- a/relay/control/node.go
+++ b/relay/control/node.go
@@ -70,6 +70,8 @@
 	neighbours []string
 	timing     lease.Timing
 	boot       uint64
+	// retries returns the number of requests that this VM may repeat now; nil if it does not tell.
+	retries func() int
 	// persist saves the installed configuration durably; without WithInstalled it does nothing.
 	persist func([]byte) error
 
@@ -104,9 +106,13 @@
 
 // WithVMInfo sets the VM's data centre and whether it serves callers.
 func WithVMInfo(centre string, callers bool) Option {
-	return func(n *Node) { n.vmInfo = vmInfo{centre, callers} }
+	return func(n *Node) { n.vmInfo = vmInfo{centre: centre, servesCallers: callers} }
 }
 
+// WithRetries sets the function that returns the number of requests that the VM may repeat now, which the leader is told with each lease
+// request.
+func WithRetries(retries func() int) Option { return func(n *Node) { n.retries = retries } }
+
 // WithNeighbours sets the VMs of the same data centre that are asked for their configuration.
 func WithNeighbours(names []string) Option { return func(n *Node) { n.neighbours = names } }
 
--- a/relay/control/roster.go
+++ b/relay/control/roster.go
@@ -11,10 +11,25 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 )
 
-// vmInfo is a VM's data centre and whether it serves callers.
+// vmInfo is a VM's data centre, whether it serves callers, and how many requests it may repeat.
 type vmInfo struct {
 	centre        string
 	servesCallers bool
+	// retries is one more than the number, or 0 if the VM does not tell.
+	retries int
+}
+
+// Retries returns the number of requests that all VMs with callers together may repeat now, as of their last lease requests; false if
+// one of them does not tell.
+func (v *Voter) Retries(now time.Duration) (retries int, known bool) {
+	for _, held := range v.granter.Leases(now) {
+		info := v.vmInfos[held.VM]
+		if info.servesCallers && info.retries == 0 {
+			return 0, false
+		}
+		retries += max(0, info.retries-1)
+	}
+	return retries, true
 }
 
 // roster returns the members of the replicated log and the VMs that hold a lease, in order.
--- a/relay/control/simulation_test.go
+++ b/relay/control/simulation_test.go
@@ -62,6 +62,8 @@
 	calls      *callers
 	// namer is nil in runs without weights.
 	namer *namer
+	// retries returns the retries that a VM tells its leader; nil if no VM does.
+	retries func(name string) int
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -90,11 +92,17 @@
 	return list
 }
 
-func (s *simulation) boot(v *vm) {
+func (s *simulation) boot(v *vm) { s.bootWith(v) }
+
+// bootWith starts a VM with further options.
+func (s *simulation) bootWith(v *vm, further ...control.Option) {
 	v.bootNumber++
 	v.bootedAt, v.frozenUntil, v.tickedAt = s.now, 0, 0
 	installed := configuration.NewHolder()
 	options := []control.Option{control.WithControls(s.names(voters)), control.WithNeighbours(s.names(vms)), control.WithTiming(lease.DefaultTiming)}
+	if s.retries != nil {
+		options = append(options, control.WithVMInfo("a", v.volume == nil), control.WithRetries(func() int { return s.retries(v.name) }))
+	}
 	if v.volume != nil {
 		voter, _, err := control.Open(control.OpenOptions{
 			Name: v.name, Controls: s.names(voters), Disk: v.volume.Disk, Random: s.random.Uint64,
@@ -112,7 +120,7 @@
 	} else {
 		v.installedVersion = 0
 	}
-	v.node = control.New(v.name, v.bootNumber, options...)
+	v.node = control.New(v.name, v.bootNumber, append(options, further...)...)
 }
 
 // clock returns the VM's own monotonic clock, which starts with the process and runs at the VM's rate.
--- a/relay/forward/budget.go
+++ b/relay/forward/budget.go
@@ -105,12 +105,15 @@
 }
 
 // CanWithdraw reports whether Withdraw would succeed.
-func (b *Budget) CanWithdraw(service string) bool {
+func (b *Budget) CanWithdraw(service string) bool { return b.Left(service) > 0 }
+
+// Left returns the number of retries that the budget of the service allows now.
+func (b *Budget) Left(service string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	ratio, slack := b.limits(now)
-	return b.serviceBudget(service).CanWithdraw(now, ratio, slack)
+	return max(0, b.serviceBudget(service).Left(now, ratio, slack))
 }
 
 // Withdraw counts a retry if the budget of the service allows it, and reports whether it does.
--- a/relay/rollout/core.go
+++ b/relay/rollout/core.go
@@ -46,16 +46,28 @@
 	// reportTimeout limits how long an engine without reports, which may have crashed, counts as draining or loading. It is also
 	// the backoff afterwards.
 	reportTimeout = 3 * time.Second
+	// retriesLag is the time after which the VMs' retries include the requests that an order has interrupted.
+	retriesLag = time.Second
 	// orderBackoff is the pause after an order that was refused or had no effect.
 	orderBackoff = 250 * time.Millisecond
 )
 
+// interruption counts the requests that an order interrupts.
+type interruption struct {
+	at       time.Duration
+	requests int
+}
+
 // Core decides which engines drain and which are ordered to load new weights.
 type Core struct {
 	loadShare float64
 	lease     Lease
 	engines   []*engine
 	byID      map[string]*engine
+	// retries is the number of requests that the VMs may repeat; interrupted are the requests that recent orders interrupt, which it may
+	// not include yet.
+	retries     Retries
+	interrupted []interruption
 	// fencedNumber is the highest fencing number that an engine refused because it had seen a higher one.
 	fencedNumber uint64
 }
@@ -142,6 +154,21 @@
 	c.lease = m
 }
 
+func (m Retries) apply(c *Core, _ time.Duration, _ *Effects) { c.retries = m }
+
+// mayInterrupt reports whether the VMs may repeat a number of further requests.
+func (c *Core) mayInterrupt(now time.Duration, requests int) bool {
+	if !c.retries.Known {
+		return true
+	}
+	c.interrupted = slices.DeleteFunc(c.interrupted, func(i interruption) bool { return now >= i.at+retriesLag })
+	left := c.retries.Left
+	for _, i := range c.interrupted {
+		left -= i.requests
+	}
+	return requests <= left
+}
+
 func (m Report) apply(c *Core, now time.Duration, effects *Effects) {
 	e := c.byID[m.ID]
 	if e == nil || e.reported && m.MadeAt < e.lastReport.MadeAt {
@@ -216,6 +243,7 @@
 		}
 		if e.stage == draining && loadCount < maxLoading && c.readyToLoad(now, e) {
 			e.setStage(now, ordered, effects)
+			c.interrupted = append(c.interrupted, interruption{now, e.lastReport.repeatable()})
 			loadCount, drainCount = loadCount+1, drainCount-1
 			effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: e.Model, Weights: e.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence})
 		}
@@ -243,16 +271,24 @@
 }
 
 // readyToLoad reports whether an engine may be ordered to load: its report is newer than the start of the drain, and it shows no
-// request or the timeout for the remaining requests has passed. Without a report the sequence number of the order is not known.
+// request, or the timeout for the remaining requests has passed and the VMs may repeat those that can move. Without a report the
+// sequence number of the order is not known.
 func (c *Core) readyToLoad(now time.Duration, e *engine) bool {
 	if !e.reported || e.lastReport.MadeAt < e.stageSince {
 		return false
 	}
+	timeout := movableRequestTimeout
+	if e.lastReport.NonRepeatableRequests > 0 {
+		timeout = drainTimeout
+	}
 	switch {
-	case e.lastReport.ActiveRequests == 0 || now >= e.stageSince+drainTimeout:
+	case e.lastReport.ActiveRequests == 0:
 		return true
-	case e.lastReport.NonRepeatableRequests > 0:
+	case now < e.stageSince+timeout:
 		return false
 	}
-	return now >= e.stageSince+movableRequestTimeout
+	return e.Overdue || c.mayInterrupt(now, e.lastReport.repeatable())
 }
+
+// repeatable returns the number of requests in progress that can move to another engine.
+func (m Report) repeatable() int { return max(0, m.ActiveRequests-m.NonRepeatableRequests) }
--- a/relay/rollout/core_test.go
+++ b/relay/rollout/core_test.go
@@ -21,6 +21,7 @@
 	// answersLost drops the answers to orders, orderDelay delays their execution.
 	answersLost bool
 	orderDelay  time.Duration
+	overdue     bool
 	// maxLoading and maxOutOfRotation are the highest numbers of engines that were loading and out of rotation at the same time.
 	maxLoading       int
 	maxOutOfRotation int
@@ -60,7 +61,7 @@
 	var engines rollout.Engines
 	for i := range len(s.engines) {
 		id := fmt.Sprintf("e%02d", i)
-		engines.List = append(engines.List, rollout.Engine{ID: id, Model: "m", Weights: 1, WantedWeights: s.wantedWeights})
+		engines.List = append(engines.List, rollout.Engine{ID: id, Model: "m", Weights: 1, WantedWeights: s.wantedWeights, Overdue: s.overdue})
 	}
 	return engines
 }
@@ -126,6 +127,14 @@
 	s.core.Step(s.now, rollout.Report{ID: id, MadeAt: s.now - s.reportLag, Weights: f.weights, Executing: f.loading(s.now - s.reportLag), Sequence: f.sequence, ActiveRequests: running, NonRepeatableRequests: nonRepeatable})
 }
 
+// sequences returns the number of orders that all engines have accepted.
+func (s *simulation) sequences() (n uint64) {
+	for _, f := range s.engines {
+		n += f.sequence
+	}
+	return n
+}
+
 func (s *simulation) expectServing(version uint64) {
 	GinkgoHelper()
 	for id, f := range s.engines {
@@ -183,6 +192,38 @@
 		s.expectServing(3)
 	})
 
+	// Guards against streams that an order breaks off when the VMs may not repeat them any more.
+	It("interrupts no more requests than the VMs may repeat, until they end or the engine is overdue", func() {
+		s := newSimulation(2)
+		s.core.Step(0, rollout.Retries{Known: true})
+		s.engines["e00"].repeatableUntil, s.engines["e01"].repeatableUntil = 2*time.Second, time.Hour
+		s.wantedWeights = 2
+		s.run(1900 * time.Millisecond)
+		Expect(s.engines["e00"].sequence + s.engines["e01"].sequence).To(BeZero())
+		s.run(2 * time.Second)
+		Expect(s.engines["e00"].weights).To(BeEquivalentTo(2))
+		Expect(s.engines["e01"].sequence).To(BeZero())
+		s.overdue = true
+		s.run(2 * time.Second)
+		s.expectServing(2)
+	})
+
+	It("counts the requests that its last orders interrupt against those that the VMs may repeat", func() {
+		s := newSimulation(10)
+		for _, f := range s.engines {
+			f.repeatableUntil = time.Hour
+		}
+		s.core.Step(0, rollout.Retries{Left: 1, Known: true})
+		s.wantedWeights = 2
+		s.run(800 * time.Millisecond)
+		Expect(s.sequences()).To(BeEquivalentTo(1))
+		s.run(300 * time.Millisecond)
+		Expect(s.sequences()).To(BeEquivalentTo(1))
+		s.core.Step(s.now, rollout.Retries{})
+		s.run(500 * time.Millisecond)
+		Expect(s.sequences()).To(BeNumerically(">", 1))
+	})
+
 	It("completes when the answers to orders are lost", func() {
 		s := newSimulation(4)
 		s.answersLost, s.wantedWeights = true, 2
--- a/relay/rollout/message.go
+++ b/relay/rollout/message.go
@@ -15,6 +15,8 @@
 	WantedWeights uint64
 	// Leaving engines get no new weights.
 	Leaving bool
+	// Overdue engines load whether or not the requests that this interrupts can be repeated.
+	Overdue bool
 }
 
 // Engines replaces the set of engines.
@@ -28,6 +30,12 @@
 	PreviousEnded bool
 }
 
+// Retries is the number of requests that all VMs together may repeat now, as of their last reports. If it is not known there is no limit.
+type Retries struct {
+	Left  int
+	Known bool
+}
+
 // Report is an engine's report of its weights, orders and requests in progress.
 type Report struct {
 	ID string
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -20,6 +20,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/directory"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
@@ -89,17 +90,37 @@
 	return voter, err
 }
 
-func newNode(s settings.Settings, voter *control.Voter) *control.Node {
+func newNode(s settings.Settings, st *state, budget *forward.Budget, voter *control.Voter) *control.Node {
 	options := []control.Option{
 		control.WithControls(seedNames(s)), control.WithTiming(leaseTiming(s)), control.WithVMInfo(s.Centre, s.Listeners.Callers.IsValid()),
 	}
 	if voter != nil {
 		options = append(options, control.WithVoter(voter))
 	}
+	if s.Listeners.Callers.IsValid() {
+		options = append(options, control.WithRetries(func() int { return leftRetries(st, budget) }))
+	}
 	// The wall clock makes the boot number grow with each start; after a clock step backwards the leader sends a higher number.
 	return control.New(s.Name, uint64(time.Now().UnixNano()), options...)
 }
 
+// leftRetries returns the number of requests to engines that this VM may repeat now: of several services the least.
+func leftRetries(st *state, budget *forward.Budget) int {
+	table := st.table.Load()
+	if table == nil {
+		return 0
+	}
+	left := -1
+	for i := range table.State.Services {
+		if service := &table.State.Services[i]; service.Engine != nil {
+			if n := budget.Left(service.Name); left < 0 || n < left {
+				left = n
+			}
+		}
+	}
+	return max(0, left)
+}
+
 func newHost(s *state, node *control.Node, mesh *peerMesh, logger log.Interface) *control.Host {
 	host := control.NewHost(node, control.WithLog(logger), control.WithConfigurationHandler(s.install), control.WithRosterHandler(func(r *peer.Roster) {
 		s.vms.Store(r)
--- a/relay/vm/orders.go
+++ b/relay/vm/orders.go
@@ -9,7 +9,6 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
-	"github.com/chicoryrelay/chicoryrelay/coord/configuration"
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
@@ -30,6 +29,9 @@
 	// maxLoadingShare is the share of a service's engines that load weights at the same time: the other engines take over their
 	// requests meanwhile, and the weight store slows down with the number of readers.
 	maxLoadingShare = 0.2
+	// overdueShare is the share of times.weights after which engines load whatever requests they interrupt: the rest is for the loads,
+	// of which only some can go on at the same time.
+	overdueShare = 0.8
 	// maxReportAge is the maximum age of the data in an engine's load report.
 	maxReportAge = 250 * time.Millisecond
 	// orderInboxSize limits the queue of load reports and order results.
@@ -114,7 +116,10 @@
 	lease rollout.Lease
 	// validUntil is the time on the clock of the control state until which the lease is known to last.
 	validUntil time.Duration
-	weights    map[string]uint64
+	weights    map[string]catalogue.Weights
+	// registryTime is the time of the replicated log.
+	registryTime time.Time
+	retries      rollout.Retries
 }
 
 // readOrderState reads the order lease and the newest committed weights versions; fencing number 0 means that this VM must not send.
@@ -126,10 +131,12 @@
 			return
 		}
 		_, previousEnded := voter.FencingNumber(at.Now, false)
-		s.lease, s.validUntil, s.weights = rollout.Lease{FencingNumber: number, PreviousEnded: previousEnded}, deadline, map[string]uint64{}
+		s.lease, s.validUntil, s.weights = rollout.Lease{FencingNumber: number, PreviousEnded: previousEnded}, deadline, map[string]catalogue.Weights{}
 		for _, object := range voter.Machine().Configuration().Objects().Kind(catalogue.KindWeights) {
-			s.weights[object.Name], _ = configuration.DecodeNumbered(object.Value)
+			s.weights[object.Name] = catalogue.DecodeWeights(object.Value)
 		}
+		s.registryTime = node.RegistryTime(at.Now)
+		s.retries.Left, s.retries.Known = voter.Retries(at.Now)
 	})
 	return s
 }
@@ -146,7 +153,8 @@
 	if s.lease.FencingNumber == 0 || list == nil {
 		return false
 	}
-	o.step(ctx, o.engines(list, s.weights))
+	o.step(ctx, o.engines(list, s))
+	o.step(ctx, s.retries)
 	inProgress := o.core.InProgress()
 	if inProgress {
 		o.step(ctx, rollout.Tick{})
@@ -158,23 +166,34 @@
 }
 
 // engines returns the engines with their target weights versions, for models that have one.
-func (o *orderSender) engines(list *directory.List, weights map[string]uint64) rollout.Engines {
+func (o *orderSender) engines(list *directory.List, s orderState) rollout.Engines {
 	var engines rollout.Engines
 	clear(o.addresses)
 	for i := range list.Upstreams {
 		u := &list.Upstreams[i]
 		for _, m := range u.Models {
-			wanted, ok := weights[m.Name]
+			wanted, ok := s.weights[m.Name]
 			if !ok {
 				continue
 			}
 			o.addresses[u.ID] = u.Address
-			engines.List = append(engines.List, rollout.Engine{ID: u.ID, Model: m.Name, Weights: m.Weights, WantedWeights: wanted, Leaving: u.Leaving})
+			engines.List = append(engines.List, rollout.Engine{ID: u.ID, Model: m.Name, Weights: m.Weights, WantedWeights: wanted.Version, Leaving: u.Leaving, Overdue: o.overdue(m.Weights, wanted, s.registryTime)})
 		}
 	}
 	return engines
 }
 
+// overdue reports whether an engine on a weights version must load at once: newer ones were named so long ago that no request may
+// begin on its weights soon. Versions without a time are always overdue.
+func (o *orderSender) overdue(version uint64, wanted catalogue.Weights, registryTime time.Time) bool {
+	for _, naming := range wanted.Namings {
+		if naming.Version > version {
+			return registryTime.Sub(naming.At) >= time.Duration(overdueShare*float64(o.settings.Times.Weights))
+		}
+	}
+	return true
+}
+
 // step passes a message to the core and carries out the effects.
 func (o *orderSender) step(ctx context.Context, m rollout.Message) {
 	effects := o.core.Step(o.host.Now(), m)
--- a/relay/vm/weights_test.go
+++ b/relay/vm/weights_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
 	"github.com/chicoryrelay/chicoryrelay/relay/pause"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
@@ -107,3 +108,34 @@
 		Expect(n["m"]).To(HaveLen(2))
 	})
 })
+
+var _ = Describe("an engine on older weights", func() {
+	named := time.Date(2026, 12, 5, 10, 0, 0, 0, time.UTC)
+	o := &orderSender{}
+	o.settings.Times.Weights = 10 * time.Second
+
+	It("is overdue when most of the time since the next version was named is over", func() {
+		wanted := catalogue.Weights{}.WithNaming(3, named).WithNaming(4, named.Add(5*time.Second))
+		Expect(o.overdue(2, wanted, named.Add(7900*time.Millisecond))).To(BeFalse())
+		Expect(o.overdue(2, wanted, named.Add(8*time.Second))).To(BeTrue())
+		Expect(o.overdue(3, wanted, named.Add(8*time.Second))).To(BeFalse())
+		Expect(o.overdue(2, catalogue.Weights{Version: 4}, named)).To(BeTrue())
+	})
+})
+
+var _ = Describe("the retries that a VM tells its leader", func() {
+	It("are the least of its services with engines, and none before the first desired state", func() {
+		st, budget := newState(Adapter{}, &log.Logger{Handler: discard.Default}), forward.NewBudget()
+		budget.SetLimits(0, 100)
+		budget.SetVMs(1)
+		Expect(leftRetries(st, budget)).To(BeZero())
+		engine := &route.Engine{}
+		st.table.Store(route.NewTable(&route.State{Services: []route.Service{{Name: "plain"}, {Name: "a", Engine: engine}, {Name: "b", Engine: engine}}}))
+		left := leftRetries(st, budget)
+		Expect(left).To(BeNumerically(">", 3))
+		for _, service := range []string{"plain", "plain", "plain", "b"} {
+			Expect(budget.Withdraw(service)).To(BeTrue())
+		}
+		Expect(leftRetries(st, budget)).To(Equal(left - 1))
+	})
+})
