Refuse late requests that may outlast a stopping VM instead of cutting them

Reported by other operators: requests that came late in the grace of a planned stop were passed on and cut at its end without an answer, among them such as may not be repeated. Cause: once the load balancer's time was over, a VM took whatever came on open connections, however long it might last, and http.Server.Shutdown closed connections on which a first request was being sent. Change: a request is refused as not run once it has been read whole if its time limit exceeds the rest of the grace. Connections stay open until no request has been in progress for 200 ms. Requests that wait for an upstream at the end are refused.

--- a/relay/forward/forwarder.go
+++ b/relay/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -42,6 +43,10 @@
 	now      func() time.Time
 	random   func() float64
 	stopping atomic.Bool
+	// endsAt is when the process ends, zero while that isn't known; stop gives up the requests that wait for a placement.
+	endsAt   atomic.Pointer[time.Time]
+	stopped  context.Context
+	stop     context.CancelCauseFunc
 	active   atomic.Int64
 	recorder func(RequestRecord)
 	// buffers counts the memory of the answers in progress.
@@ -102,6 +107,7 @@
 // New returns a forwarder; WithTable, WithDialect, WithPool and WithPlaceFunc must be given.
 func New(options ...Option) *Forwarder {
 	f := &Forwarder{log: log.Log, now: time.Now, random: rand.Float64, budget: NewBudget(), recorder: func(RequestRecord) {}}
+	f.stopped, f.stop = context.WithCancelCause(context.Background())
 	for _, option := range options {
 		option(f)
 	}
@@ -136,6 +142,15 @@
 // it.
 func (f *Forwarder) CloseConnections() { f.stopping.Store(true) }
 
+// EndAt makes the forwarder refuse each further request that may last longer than the process, so that none is cut without an answer.
+func (f *Forwarder) EndAt(end time.Time) { f.endsAt.Store(&end) }
+
+// Stop refuses the requests that wait for an upstream, which have not run.
+func (f *Forwarder) Stop() { f.stop(errStopping) }
+
+// errStopping is the cause of a request that was given up because the process ends.
+var errStopping = errors.New("this VM shuts down")
+
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
 
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -100,6 +100,10 @@
 		s.refuse(err, 0)
 		return
 	}
+	if end := s.f.endsAt.Load(); end != nil && s.arrived.Add(timeout).After(*end) {
+		s.refuse(outcome.Refuse(outcome.ShuttingDown, "this VM shuts down before the request's time is over; send it again"), minRetryAfter)
+		return
+	}
 	s.prepare(table, account, timeout)
 	s.runAttempts(ctx)
 }
@@ -192,7 +196,7 @@
 		s.placementRequest.Begun, s.placementRequest.LastEventAt = s.begun, s.lastEventAt
 		s.placementRequest.Only = s.allowedUpstreams()
 		s.setScope()
-		p, err := s.f.place(ctx, s.placementRequest)
+		p, err := s.place(ctx)
 		if err != nil {
 			s.placementFailed(ctx, err, lastErr)
 			return
@@ -206,6 +210,18 @@
 	}
 }
 
+// place chooses the upstream of an attempt; it gives up when the process is about to end.
+func (s *session) place(ctx context.Context) (*Placement, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(s.f.stopped, func() { cancel(errStopping) })()
+	p, err := s.f.place(ctx, s.placementRequest)
+	if err != nil && errors.Is(context.Cause(ctx), errStopping) {
+		return nil, outcome.Refuse(outcome.ShuttingDown, "this VM shuts down; send the request again").WithCause(err)
+	}
+	return p, err
+}
+
 // mayRunAgain reports whether the request may be sent after its attempts so far.
 func (s *session) mayRunAgain() bool {
 	switch {
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -69,51 +69,61 @@
 	ready := newServer(readiness(st.adapter.ReadyPath, func() bool {
 		return !stopping.Load() && st.table.Load() != nil && st.list.Load() != nil
 	}), s.Limits.Headers, logger)
+	var listener net.Listener
 	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error {
+		OnStart: func(context.Context) (err error) {
 			if s.Listeners.Ready.IsValid() {
-				if err := listen(ready, s.Listeners.Ready, "listeners.ready", logger); err != nil {
+				if _, err := listen(ready, s.Listeners.Ready, "listeners.ready", logger); err != nil {
 					return err
 				}
 			}
-			return listen(server, s.Listeners.Callers, "listeners.callers", logger)
+			listener, err = listen(server, s.Listeners.Callers, "listeners.callers", logger)
+			return err
 		},
 		OnStop: func(ctx context.Context) error {
+			end := time.Now().Add(s.Times.Stop - stopMargin)
 			stopping.Store(true)
 			f.CloseConnections()
 			logger.WithFields(log.Fields{"wait": s.Times.Balancer, "active": f.Active()}).Info("unready")
 			// The load balancer takes this long to notice the unready state; requests that arrive meanwhile are served.
 			time.Sleep(s.Times.Balancer)
-			ctx, cancel := context.WithTimeout(ctx, s.Times.Stop-s.Times.Balancer-stopMargin)
+			// Connections on which no request has come yet remain open, so that a late one is answered. http.Server.Shutdown would close
+			// them when it has read the request.
+			f.EndAt(end)
+			_ = listener.Close() // The listener's goroutine logs an error that matters.
+			server.SetKeepAlivesEnabled(false)
+			ctx, cancel := context.WithDeadline(ctx, end)
 			defer cancel()
-			go closeWhenIdle(ctx, server, f)
-			err := server.Shutdown(ctx)
+			awaitIdle(ctx, f)
+			f.Stop()
+			time.Sleep(refusalTime)
 			logger.WithField("active", f.Active()).Info("callers' listener closed")
-			_ = ready.Close() // The process is ending, so an error has no effect.
-			if errors.Is(err, context.DeadlineExceeded) {
-				return nil
-			}
-			return err
+			// The process is ending, so errors have no effect.
+			_, _ = server.Close(), ready.Close()
+			return nil
 		},
 	})
 }
 
-// A stopping VM checks for requests in progress every idleCheckInterval and closes the server after idleChecks consecutive checks
-// without any: http.Server.Shutdown would wait seconds for connections that have carried no request.
+// A stopping VM checks for requests in progress every idleCheckInterval and ends after idleChecks consecutive checks without any.
+// refusalTime is the time in which the requests that wait for an upstream then are refused.
 const (
 	idleCheckInterval = 50 * time.Millisecond
 	idleChecks        = 4
+	refusalTime       = 50 * time.Millisecond
 )
 
-// closeWhenIdle closes the server once no request is in progress; it returns when the context ends.
-func closeWhenIdle(ctx context.Context, server *http.Server, f *forward.Forwarder) {
+// awaitIdle returns once no request is in progress, or when the context ends.
+func awaitIdle(ctx context.Context, f *forward.Forwarder) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	idle := 0
 	runEvery(ctx, idleCheckInterval, func() {
 		if idle++; f.Active() > 0 {
 			idle = 0
 		}
 		if idle == idleChecks {
-			_ = server.Close() // Shutdown reports the error.
+			cancel()
 		}
 	})
 }
@@ -134,16 +144,17 @@
 	})
 }
 
-func listen(server *http.Server, address netip.AddrPort, setting string, logger log.Interface) error {
+// listen serves on an address until the server or the listener is closed.
+func listen(server *http.Server, address netip.AddrPort, setting string, logger log.Interface) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return oops.Hint("choose a free address").Wrapf(err, "setting %s: cannot listen; choose a free IP address and port of this VM", setting)
+		return nil, oops.Hint("choose a free address").Wrapf(err, "setting %s: cannot listen; choose a free IP address and port of this VM", setting)
 	}
 	logger.WithField("address", address).WithField("setting", setting).Info("listening")
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			logger.WithField("cause", err.Error()).Error("listener failed")
 		}
 	}()
-	return nil
+	return listener, nil
 }
--- a/relay/vm/metrics.go
+++ b/relay/vm/metrics.go
@@ -129,8 +129,11 @@
 	})
 	server := newServer(mux, s.Limits.Headers, logger)
 	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { return listen(server, s.Listeners.Metrics, "listeners.metrics", logger) },
-		OnStop:  func(context.Context) error { return server.Close() },
+		OnStart: func(context.Context) error {
+			_, err := listen(server, s.Listeners.Metrics, "listeners.metrics", logger)
+			return err
+		},
+		OnStop: func(context.Context) error { return server.Close() },
 	})
 }
 
--- a/relay/vm/operators.go
+++ b/relay/vm/operators.go
@@ -100,7 +100,8 @@
 	server := newServer(adapter.Operators(operators), s.Limits.Headers, logger)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			return listen(server, s.Listeners.Requests, "listeners.requests", logger)
+			_, err := listen(server, s.Listeners.Requests, "listeners.requests", logger)
+			return err
 		},
 		OnStop: func(ctx context.Context) error { return server.Shutdown(ctx) },
 	})
