Never pass on an answer that is not marked as an upstream's own

Seen by callers: a 200, 404 or 503 of whatever listens at an upstream's address, as the final answer to a booking that no upstream may have run, or that one may still run. Cause: Matches accepts an answer without an ID on a new connection if it bears no mark, for which a declared "not run" is the reason; what declared nothing was passed on like an upstream's answer. Change: such an answer is a failed attempt. A request that may be repeated goes to another upstream, another one gets a 502 that says that it may have run.

--- a/relay/forward/forward_test.go
+++ b/relay/forward/forward_test.go
@@ -255,6 +255,39 @@
 		Expect(expectStatus(http.StatusServiceUnavailable, "/book/").Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	// Guards against a booking that a server which is no upstream confirms with a page of its own.
+	Describe("an answer without the mark of an upstream's own answer", func() {
+		var strangerAsked int
+		stranger := func(status int, header string) directory.Upstream {
+			return rawUpstream(func(conn net.Conn, _ *http.Request) {
+				strangerAsked++
+				_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: 7\r\n\r\nwelcome", status, header))
+			})
+		}
+		BeforeEach(func() { strangerAsked = 0 })
+
+		DescribeTable("is never passed on",
+			func(path string, strangerStatus int, header string, status int, body string, ends ...string) {
+				fake.list = []directory.Upstream{stranger(strangerStatus, header), answering(200, "", "id: 1\ndata: a\n\n")}
+				response, text, err := request(http.MethodPost, path, "")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(status))
+				Expect(text).To(ContainSubstring(body))
+				Expect(text).NotTo(ContainSubstring("welcome"))
+				Expect(strangerAsked).To(Equal(1))
+				Expect(fake.recordedEnds()).To(Equal(ends))
+			},
+			Entry("to a request that may run once", "/book/", 200, "", http.StatusBadGateway, "may have run", "failed"),
+			Entry("to a request that may run once, with its ID", "/book/", 200, "X-Id: 1\r\n", http.StatusBadGateway, "may have run", "failed"),
+			Entry("to one that may be repeated", "/read/", 200, "", http.StatusOK, "data: a", "failed", "finished"),
+			Entry("to a stream that may be repeated", "/long/", 200, "", http.StatusOK, "data: a", "failed", "finished"),
+			Entry("as a rejection of a request that may run once", "/book/", 404, "", http.StatusBadGateway, "may have run", "failed"),
+			Entry("as a refusal, which says that a request has not run", "/book/", 503, "", http.StatusBadGateway, "may have run", "failed"),
+			Entry("as a rejection of one that may be repeated", "/read/", 401, "", http.StatusOK, "data: a", "failed", "finished"),
+			Entry("to a stream that may run once", "/check/", 200, "", http.StatusBadGateway, "may have run", "failed"),
+		)
+	})
+
 	It("retries a request that an upstream has not run at another upstream, even if it must not run twice", func() {
 		fake.list = []directory.Upstream{answering(503, "X-Not-Run: 1\r\n", ""), answering(200, "", "ok")}
 		expectStatus(http.StatusOK, "/book/")
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -317,6 +317,10 @@
 		discardAnswer(answer)
 		return false, errNotRun
 	}
+	if !answerMetadata.FromUpstream {
+		answer.Close()
+		return s.attemptFailed(ctx, p, errUnmarked, Failure{}), errUnmarked
+	}
 	if s.begun && answer.Status >= http.StatusMultipleChoices {
 		// The caller has a part of the stream, in the middle of which no other answer may stand.
 		s.recordRun(p.Upstream)
@@ -334,6 +338,9 @@
 // errNotRun is the cause of an attempt that the upstream declared not run.
 var errNotRun = errors.New("the upstream did not run the request")
 
+// errUnmarked means that a final answer lacks the mark of an upstream's own: whoever sent it says nothing of whether the request has run.
+var errUnmarked = errors.New("the answer is not marked as one of an upstream")
+
 // attemptFailed ends an attempt whose connection failed or that was cancelled. It returns false if another attempt may be made.
 func (s *session) attemptFailed(ctx context.Context, p *Placement, err error, f Failure) bool {
 	var notSent *connection.NotSentError
