Keep idle connections open while a stopping VM still serves requests

A connection counts as idle until its request's head has been read, so that one that is just being read is closed as well. Change: connections are left open; each answer and refusal of a VM that stops announces the end of its connection. At the end nothing is passed on any more before the connections are closed. Evidence: a spec on a kept connection failed before (closed without an answer).

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -128,8 +128,13 @@
 		// A nil value stops net/http from detecting a content type.
 		h["Content-Type"] = nil
 	}
+	s.setConnection()
+}
+
+// setConnection announces the end of the caller's connection on a VM that shuts down.
+func (s *session) setConnection() {
 	if s.f.stopping.Load() {
-		h.Set("Connection", "close")
+		s.w.Header().Set("Connection", "close")
 	}
 }
 
@@ -282,6 +287,7 @@
 	}
 	s.f.log.WithFields(fields).Info("refused")
 	setRetryAfter(s.w.Header(), retryAfter)
+	s.setConnection()
 	s.w.Header().Set("Content-Type", "application/json")
 	s.status = refusal.Status()
 	s.w.WriteHeader(s.status)
@@ -340,6 +346,7 @@
 	s.f.log.WithFields(log.Fields{
 		"request": s.metadata.ID, "status": s.status, "age": s.f.now().Sub(s.arrived), "sends": s.sends, "runs": s.runs, "cause": text,
 	}).Info("failed")
+	s.setConnection()
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.WriteHeader(s.status)
 	// A write error means that the caller left; the failure is logged above.
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -87,16 +87,17 @@
 			logger.WithFields(log.Fields{"wait": s.Times.Balancer, "active": f.Active()}).Info("unready")
 			// The load balancer takes this long to notice the unready state; requests that arrive meanwhile are served.
 			time.Sleep(s.Times.Balancer)
-			// Connections on which no request has come yet remain open, so that a late one is answered. http.Server.Shutdown would close
-			// them when it has read the request.
+			// Connections without a request remain open, so that a late one is answered. http.Server.Shutdown and SetKeepAlivesEnabled
+			// would close them, also when a request has just been read and passed on.
 			f.EndAt(end)
 			_ = listener.Close() // The listener's goroutine logs an error that matters.
-			server.SetKeepAlivesEnabled(false)
 			ctx, cancel := context.WithDeadline(ctx, end)
 			defer cancel()
-			awaitIdle(ctx, f)
+			awaitIdle(ctx, f, idleChecks)
+			// From here on nothing is passed on, so that closing the connections cuts no request at an upstream.
 			f.Stop()
 			time.Sleep(refusalTime)
+			awaitIdle(ctx, f, 1)
 			logger.WithField("active", f.Active()).Info("callers' listener closed")
 			// The process is ending, so errors have no effect.
 			_, _ = server.Close(), ready.Close()
@@ -113,8 +114,8 @@
 	refusalTime       = 50 * time.Millisecond
 )
 
-// awaitIdle returns once no request is in progress, or when the context ends.
-func awaitIdle(ctx context.Context, f *forward.Forwarder) {
+// awaitIdle returns after a number of consecutive checks without a request in progress, or when the context ends.
+func awaitIdle(ctx context.Context, f *forward.Forwarder, checks int) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idle := 0
@@ -122,7 +123,7 @@
 		if idle++; f.Active() > 0 {
 			idle = 0
 		}
-		if idle == idleChecks {
+		if idle == checks {
 			cancel()
 		}
 	})
