Retain the requests that an order for new weights would lose

Cause: every order evicts, after 1.2 s of draining if requests can't be repeated, or when the engine is overdue. Change: where an eviction would lose any request, the order retains them, which the protocol allows: the answer goes on under the new weights. The log line of an order says so.

--- a/relay/rollout/core.go
+++ b/relay/rollout/core.go
@@ -169,6 +169,12 @@
 	return requests <= left
 }
 
+// mayInterruptAll reports whether all requests in progress at an engine may be interrupted: each can be repeated, and the VMs may do so.
+// An answer that goes on under newer weights is worth more to its caller than one that is broken off.
+func (c *Core) mayInterruptAll(now time.Duration, r Report) bool {
+	return r.NonRepeatableRequests == 0 && (r.ActiveRequests == 0 || c.mayInterrupt(now, r.ActiveRequests))
+}
+
 func (m Report) apply(c *Core, now time.Duration, effects *Effects) {
 	e := c.byID[m.ID]
 	if e == nil || e.reported && m.MadeAt < e.lastReport.MadeAt {
@@ -243,9 +249,12 @@
 		}
 		if e.stage == draining && loadCount < maxLoading && c.readyToLoad(now, e) {
 			e.setStage(now, ordered, effects)
-			c.interrupted = append(c.interrupted, interruption{now, e.lastReport.repeatable()})
+			retain := !c.mayInterruptAll(now, e.lastReport)
+			if !retain {
+				c.interrupted = append(c.interrupted, interruption{now, e.lastReport.repeatable()})
+			}
 			loadCount, drainCount = loadCount+1, drainCount-1
-			effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: e.Model, Weights: e.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence})
+			effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: e.Model, Weights: e.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence, Retain: retain})
 		}
 	}
 	for _, e := range c.oldestFirst() {
--- a/relay/rollout/core_test.go
+++ b/relay/rollout/core_test.go
@@ -22,6 +22,8 @@
 	answersLost bool
 	orderDelay  time.Duration
 	overdue     bool
+	// evicted counts the requests that orders interrupted, retained those that went on under new weights.
+	evicted, retained int
 	// maxLoading and maxOutOfRotation are the highest numbers of engines that were loading and out of rotation at the same time.
 	maxLoading       int
 	maxOutOfRotation int
@@ -104,6 +106,17 @@
 		return
 	}
 	f.sequence++
+	running := 0
+	for _, until := range []time.Duration{f.nonRepeatableUntil, f.repeatableUntil} {
+		if s.now < until {
+			running++
+		}
+	}
+	if o.Retain {
+		s.retained += running
+	} else {
+		s.evicted += running
+	}
 	f.loadingWeights, f.loadStart, f.loadEnd = o.Weights, s.now+s.orderDelay, s.now+s.orderDelay+s.loadTime
 	result := rollout.Accepted
 	if s.answersLost {
@@ -176,6 +189,8 @@
 		s.wantedWeights = 3
 		s.run(4 * time.Second)
 		s.expectServing(3)
+		Expect(s.evicted).To(BeZero())
+		Expect(s.retained).To(Equal(1))
 	})
 
 	It("waits briefly for requests that can move to another engine, since each move costs a repeated send", func() {
@@ -190,6 +205,8 @@
 		s.wantedWeights = 3
 		s.run(2 * time.Second)
 		s.expectServing(3)
+		Expect(s.evicted).To(Equal(1))
+		Expect(s.retained).To(BeZero())
 	})
 
 	// Guards against streams that an order breaks off when the VMs may not repeat them any more.
@@ -206,6 +223,8 @@
 		s.overdue = true
 		s.run(2 * time.Second)
 		s.expectServing(2)
+		Expect(s.evicted).To(BeZero())
+		Expect(s.retained).To(Equal(1))
 	})
 
 	It("counts the requests that its last orders interrupt against those that the VMs may repeat", func() {
--- a/relay/rollout/message.go
+++ b/relay/rollout/message.go
@@ -15,7 +15,7 @@
 	WantedWeights uint64
 	// Leaving engines get no new weights.
 	Leaving bool
-	// Overdue engines load whether or not the requests that this interrupts can be repeated.
+	// Overdue engines load whether or not the requests in progress could be repeated.
 	Overdue bool
 }
 
@@ -84,6 +84,8 @@
 	Weights       uint64
 	FencingNumber uint64
 	Sequence      uint64
+	// Retain lets the requests in progress go on under the new weights instead of interrupting them.
+	Retain bool
 }
 
 // Effects are the actions that the host must carry out after a step.
--- a/relay/vm/adapter.go
+++ b/relay/vm/adapter.go
@@ -57,6 +57,8 @@
 	FencingNumber uint64
 	// Sequence is the number of orders that the engine must have accepted before this one.
 	Sequence uint64
+	// Retain lets the requests in progress go on under the new weights instead of interrupting them.
+	Retain bool
 }
 
 // EngineCodec encodes calls to engines and decodes the responses: ReportRequest and DecodeReport those for a load report,
--- a/relay/vm/orders.go
+++ b/relay/vm/orders.go
@@ -270,7 +270,7 @@
 // send sends an order if this VM still holds the order lease.
 func (o *orderSender) send(ctx context.Context, address netip.AddrPort, order rollout.Order) {
 	entry := o.log.WithFields(log.Fields{
-		"upstream": order.ID, "fencing": order.FencingNumber, "model": order.Model, "weights": order.Weights, "sequence": order.Sequence,
+		"upstream": order.ID, "fencing": order.FencingNumber, "model": order.Model, "weights": order.Weights, "sequence": order.Sequence, "retain": order.Retain,
 	})
 	s := o.readOrderState()
 	if s.lease.FencingNumber != order.FencingNumber || o.host.Now() >= s.validUntil {
@@ -279,7 +279,7 @@
 		return
 	}
 	status, _, err := call(ctx, o.pool, address, o.adapter.Engines.OrderRequest(EngineOrder{
-		Upstream: order.ID, Model: order.Model, Weights: order.Weights, Holder: o.settings.Name, FencingNumber: order.FencingNumber, Sequence: order.Sequence,
+		Upstream: order.ID, Model: order.Model, Weights: order.Weights, Holder: o.settings.Name, FencingNumber: order.FencingNumber, Sequence: order.Sequence, Retain: order.Retain,
 	}), engineCallTimeout)
 	result := rollout.Unknown
 	if err != nil {
