Share no cached prompts among accounts on a VM that may lack a change in force

Seen in a test: an entry VM without control VMs went on sharing cached prompts by its last desired state, 8 uses of an account's parts that may have become isolated meanwhile (WALL, which excepts no VM). Cause: the scope of a request is that of the desired state at hand, however old. A VM that is cut off, frozen, suspended or has just started can't know which accounts are isolated by now. Change: a VM whose lease ended more than one lease ago, or that has none, or whose machine was suspended since it was renewed, uses a scope for each account, isolated or not. The grace keeps the shared prompts warm while a leader is elected.

--- a/relay/control/host.go
+++ b/relay/control/host.go
@@ -26,8 +26,10 @@
 	Catalogue *catalogue.Catalogue
 	// LeasedUntil is when the lease expires on the monotonic clock.
 	LeasedUntil time.Duration
-	Leader      string
-	Boot        uint64
+	// leasedAt is when the lease was renewed last.
+	leasedAt ClockReading
+	Leader   string
+	Boot     uint64
 	// LedgerSequence is the newest ledger sequence (number of applied ledger commands) that this VM has received.
 	LedgerSequence uint64
 	// ListedAt is the latest time at which the leader can have read the platform's list for its board; zero without a board.
@@ -38,6 +40,16 @@
 	registryKnown bool
 }
 
+// missedTime returns the time that the monotonic clock has missed since the lease was renewed, as on a machine that was suspended.
+func (v *View) missedTime(at ClockReading) time.Duration {
+	return at.Wall.Round(0).Sub(v.leasedAt.Wall.Round(0)) - (at.Now - v.leasedAt.Now)
+}
+
+// isCurrent reports whether the lease is valid, or was within the grace, as far as both clocks show.
+func (v *View) isCurrent(at ClockReading, grace time.Duration) bool {
+	return v.LeasedUntil > 0 && at.Now < v.LeasedUntil+grace && v.missedTime(at) < grace
+}
+
 // RegistryTime returns an upper bound of the leader's registry time at a time of the monotonic clock; zero before the first lease.
 func (v *View) RegistryTime(now time.Duration) time.Time {
 	if !v.registryKnown {
@@ -206,9 +218,12 @@
 }
 
 func (h *Host) newView(c *catalogue.Catalogue) *View {
-	registryBase := h.node.RegistryTime(0)
+	registryBase, leasedAt := h.node.RegistryTime(0), h.clockReading()
+	if before := h.view.Load(); before.LeasedUntil == h.node.LeasedUntil() {
+		leasedAt = before.leasedAt
+	}
 	return &View{
-		Catalogue: c, LeasedUntil: h.node.LeasedUntil(), Leader: h.node.Leader(), Boot: h.node.boot, LedgerSequence: h.node.LedgerSequence(),
+		Catalogue: c, LeasedUntil: h.node.LeasedUntil(), leasedAt: leasedAt, Leader: h.node.Leader(), Boot: h.node.boot, LedgerSequence: h.node.LedgerSequence(),
 		ListedAt:     h.node.listedAt,
 		registryBase: registryBase, registryKnown: !registryBase.IsZero(),
 	}
@@ -235,6 +250,12 @@
 // Leased reports whether the VM holds a valid lease now.
 func (h *Host) Leased() bool { return h.Now() < h.View().LeasedUntil }
 
+// Current reports whether the VM holds a valid lease, or held one within the grace: a change that it has not installed was not in force
+// before its lease ended. A machine that was suspended since its lease was granted doesn't know.
+func (h *Host) Current(grace time.Duration) bool {
+	return h.View().isCurrent(h.clockReading(), grace)
+}
+
 // Boot returns the VM's boot number.
 func (h *Host) Boot() uint64 { return h.View().Boot }
 
--- a/relay/forward/forwarder.go
+++ b/relay/forward/forwarder.go
@@ -44,10 +44,12 @@
 	random   func() float64
 	stopping atomic.Bool
 	// endsAt is when the process ends, zero while that isn't known; stop gives up the requests that wait for a placement.
-	endsAt   atomic.Pointer[time.Time]
-	stopped  context.Context
-	stop     context.CancelCauseFunc
-	active   atomic.Int64
+	endsAt  atomic.Pointer[time.Time]
+	stopped context.Context
+	stop    context.CancelCauseFunc
+	active  atomic.Int64
+	// current reports whether the table has every change that is in force, or had until a moment ago.
+	current  func() bool
 	recorder func(RequestRecord)
 	// buffers counts the memory of the answers in progress.
 	buffers bufferPool
@@ -96,6 +98,10 @@
 // WithBudget sets the retry budget.
 func WithBudget(b *Budget) Option { return func(f *Forwarder) { f.budget = b } }
 
+// WithCurrent sets the function that reports whether the table has every change that is in force, or had until a moment ago. While it does
+// not, no account shares cached prompts with another, since one may have become isolated.
+func WithCurrent(current func() bool) Option { return func(f *Forwarder) { f.current = current } }
+
 // WithLog sets the log.
 func WithLog(logger log.Interface) Option { return func(f *Forwarder) { f.log = logger } }
 
@@ -106,7 +112,7 @@
 
 // New returns a forwarder; WithTable, WithDialect, WithPool and WithPlaceFunc must be given.
 func New(options ...Option) *Forwarder {
-	f := &Forwarder{log: log.Log, now: time.Now, random: rand.Float64, budget: NewBudget(), recorder: func(RequestRecord) {}}
+	f := &Forwarder{log: log.Log, now: time.Now, random: rand.Float64, budget: NewBudget(), recorder: func(RequestRecord) {}, current: func() bool { return true }}
 	f.stopped, f.stop = context.WithCancelCause(context.Background())
 	for _, option := range options {
 		option(f)
--- a/relay/forward/scope_test.go
+++ b/relay/forward/scope_test.go
@@ -40,8 +40,10 @@
 type scopeSite struct {
 	*httptest.Server
 	table atomic.Pointer[route.Table]
-	mu    sync.Mutex
-	salts []string
+	// outdated makes the forwarder's table one that may lack changes which are in force.
+	outdated atomic.Bool
+	mu       sync.Mutex
+	salts    []string
 }
 
 // newScopeSite returns a site with two upstreams, of which the first breaks its streams off after one event. The functions, if given, are
@@ -80,6 +82,7 @@
 	s.Server = httptest.NewServer(forward.New(
 		forward.WithTable(s.table.Load), forward.WithDialect(dialect), forward.WithPool(pool),
 		forward.WithPlaceFunc(place), forward.WithBudget(budget), forward.WithLog(&log.Logger{Handler: discard.Default}),
+		forward.WithCurrent(func() bool { return !s.outdated.Load() }),
 	))
 	DeferCleanup(s.Close)
 	DeferCleanup(pool.Close)
@@ -114,6 +117,15 @@
 		Expect(salts(newScopeSite(open, nil, install(isolated)))).To(Equal([]string{saltOf(open), saltOf(isolated)}))
 	})
 
+	// Guards against a VM that was cut off, frozen or has just started, and doesn't know that an account has become isolated.
+	It("is the account's own while the desired state may lack changes that are in force", func() {
+		s := newScopeSite(open, func(s *scopeSite) { s.outdated.Store(true) }, nil)
+		Expect(salts(s)).To(HaveEach(saltOf(isolated)))
+		s = newScopeSite(open, nil, func(s *scopeSite) { s.outdated.Store(true) })
+		Expect(salts(s)).To(Equal([]string{saltOf(open), saltOf(isolated)}))
+		Expect(route.OwnScope(&route.Account{Name: "keyless"})).NotTo(Equal(route.OwnScope(nil)))
+	})
+
 	It("remains the account's own for a request that arrived while the account was isolated", func() {
 		Expect(salts(newScopeSite(isolated, nil, install(open)))).To(HaveEach(saltOf(isolated)))
 	})
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -168,6 +168,9 @@
 	if s.ownScope != "" {
 		return s.ownScope
 	}
+	if !s.f.current() {
+		return route.OwnScope(s.placementRequest.Account)
+	}
 	scope, _ := s.f.table().Scope(s.placementRequest.Account)
 	return scope
 }
--- a/relay/rollout/core.go
+++ b/relay/rollout/core.go
@@ -248,13 +248,8 @@
 			drainCount--
 		}
 		if e.stage == draining && loadCount < maxLoading && c.readyToLoad(now, e) {
-			e.setStage(now, ordered, effects)
-			retain := !c.mayInterruptAll(now, e.lastReport)
-			if !retain {
-				c.interrupted = append(c.interrupted, interruption{now, e.lastReport.repeatable()})
-			}
+			c.order(now, e, effects)
 			loadCount, drainCount = loadCount+1, drainCount-1
-			effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: e.Model, Weights: e.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence, Retain: retain})
 		}
 	}
 	for _, e := range c.oldestFirst() {
@@ -271,6 +266,16 @@
 	}
 }
 
+// order orders an engine to load.
+func (c *Core) order(now time.Duration, e *engine, effects *Effects) {
+	e.setStage(now, ordered, effects)
+	retain := !c.mayInterruptAll(now, e.lastReport)
+	if !retain {
+		c.interrupted = append(c.interrupted, interruption{now, e.lastReport.repeatable()})
+	}
+	effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: e.Model, Weights: e.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence, Retain: retain})
+}
+
 // oldestFirst returns the engines sorted by the weights version that they serve. Otherwise the engines loaded last could starve the
 // others when new versions are named faster than they can be rolled out.
 func (c *Core) oldestFirst() []*engine {
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -62,6 +62,7 @@
 const (
 	ownScopePrefix    = "account/"
 	sharedScopePrefix = "shared/"
+	keylessScope      = "keyless"
 )
 
 // sharedScope returns the scope of the accounts that are not isolated. It is named after the set of the isolated ones: whoever cached a
@@ -102,11 +103,19 @@
 // may be that of an earlier table, or nil for requests without a key.
 func (t *Table) Scope(account *Account) (scope string, isolated bool) {
 	if account != nil && t.isolated[account.Name] {
-		return ownScopePrefix + account.Name, true
+		return OwnScope(account), true
 	}
 	return t.sharedScope, false
 }
 
+// OwnScope returns a scope that no other account shares, isolated or not; the account is nil for requests without a key.
+func OwnScope(account *Account) string {
+	if account == nil {
+		return keylessScope
+	}
+	return ownScopePrefix + account.Name
+}
+
 // RequiresKey reports whether requests need a key.
 func (t *Table) RequiresKey() bool { return t.State.Accounts != nil }
 
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -121,15 +121,17 @@
 	return max(0, left)
 }
 
-func newHost(s *state, node *control.Node, mesh *peerMesh, logger log.Interface) *control.Host {
-	host := control.NewHost(node, control.WithLog(logger), control.WithConfigurationHandler(s.install), control.WithRosterHandler(func(r *peer.Roster) {
-		s.vms.Store(r)
+func newHost(st *state, s settings.Settings, node *control.Node, mesh *peerMesh, logger log.Interface) *control.Host {
+	host := control.NewHost(node, control.WithLog(logger), control.WithConfigurationHandler(st.install), control.WithRosterHandler(func(r *peer.Roster) {
+		st.vms.Store(r)
 		mesh.setRoster(r)
-		s.onChange()
+		st.onChange()
 	}), control.WithBoardHandler(func(b *peer.Board) {
-		s.setList(directory.Decode(b), s.now(), "leader")
+		st.setList(directory.Decode(b), st.now(), "leader")
 	}))
-	s.registryTime = func() time.Time { return host.View().RegistryTime(host.Now()) }
+	st.registryTime = func() time.Time { return host.View().RegistryTime(host.Now()) }
+	// Control VMs that elect a new leader renew no lease for about as long as one lasts.
+	st.current = func() bool { return host.Current(s.Times.Lease) }
 	return host
 }
 
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -31,13 +31,15 @@
 	listedAt time.Duration
 	// registryTime returns the time of the replicated log, zero until a control VM has told it. It is set while the components are built.
 	registryTime func() time.Time
+	// current reports whether the desired state is the one in force, or was until a moment ago. It is set while the components are built.
+	current func() bool
 	// onChange is called after each change of the routes, weights versions, upstreams or roster, in part while mu is locked. It is
 	// set while the components are built.
 	onChange func()
 }
 
 func newState(adapter Adapter, logger log.Interface) *state {
-	return &state{adapter: adapter, log: logger, started: time.Now(), directory: directory.New(), registryTime: func() time.Time { return time.Time{} }, onChange: func() {}}
+	return &state{adapter: adapter, log: logger, started: time.Now(), directory: directory.New(), registryTime: func() time.Time { return time.Time{} }, current: func() bool { return false }, onChange: func() {}}
 }
 
 // now returns the directory's clock.
