Bring engines that serve several models to the named weights of each

Cause: an engine was listed once for each model, but its rollout state was kept by its ID, so that the last model listed overwrote the others; reports, the board and corrections from answers named one model only. Change: one state for each engine, which executes one order at a time, with the versions of all its models.

--- a/relay/directory/directory_test.go
+++ b/relay/directory/directory_test.go
@@ -40,6 +40,12 @@
 		Expect(old.Serves()).To(BeTrue())
 	})
 
+	It("changes the weights of one of an upstream's models and keeps the others", func() {
+		u := directory.Upstream{ID: "a", Models: []directory.Model{{Name: "m", Weights: 1}, {Name: "n", Weights: 4}}}
+		Expect(u.WithWeights("m", 2)).To(Equal([]directory.Model{{Name: "m", Weights: 2}, {Name: "n", Weights: 4}}))
+		Expect(u.Models[0].Weights).To(BeEquivalentTo(1))
+	})
+
 	It("ignores a report of an earlier incarnation", func() {
 		d := directory.New()
 		d.SetList([]directory.Upstream{engine("e", 1)})
--- a/relay/directory/upstream.go
+++ b/relay/directory/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -43,6 +44,17 @@
 	return 0
 }
 
+// WithWeights returns the upstream's models with another weights version of one of them.
+func (u *Upstream) WithWeights(model string, version uint64) []Model {
+	models := slices.Clone(u.Models)
+	for i := range models {
+		if models[i].Name == model {
+			models[i].Weights = version
+		}
+	}
+	return models
+}
+
 // List is an indexed set of upstreams ordered by ID. A nil List is empty.
 type List struct {
 	Upstreams []Upstream
--- a/relay/rollout/core.go
+++ b/relay/rollout/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,10 +19,14 @@
 	ordered
 )
 
-// engine is the rollout state of one engine.
+// engine is the rollout state of one engine, which executes one order at a time whatever its models are.
 type engine struct {
 	Engine
 	stage stage
+	// served are the weights versions that the engine's last report and answers show, by model.
+	served map[string]uint64
+	// loading is the model of the last order.
+	loading string
 	// stageSince is the time at which the stage began.
 	stageSince time.Duration
 	lastReport Report
@@ -100,11 +105,11 @@
 	return e != nil && e.stage != serving
 }
 
-// ReportedWeights returns the weights version from the last report of an engine or its answer to an order, or 0 if there is
+// ReportedWeights returns the weights version of a model from the last report of an engine or its answer to an order, or 0 if there is
 // neither.
-func (c *Core) ReportedWeights(id string) uint64 {
-	if e := c.byID[id]; e != nil && e.reported {
-		return e.lastReport.Weights
+func (c *Core) ReportedWeights(id, model string) uint64 {
+	if e := c.byID[id]; e != nil {
+		return e.served[model]
 	}
 	return 0
 }
@@ -112,21 +117,42 @@
 // InProgress reports whether any engine drains, loads or serves an older weights version than wanted.
 func (c *Core) InProgress() bool {
 	for _, e := range c.engines {
-		if e.stage != serving || e.needsLoad() {
+		if e.stage != serving || e.due() != nil {
 			return true
 		}
 	}
 	return false
 }
 
-func (e *engine) needsLoad() bool { return !e.Leaving && e.weightsVersion() < e.WantedWeights }
+// due returns the model of which the engine is to load newer weights next, an overdue one first, or nil.
+func (e *engine) due() *Model {
+	var next *Model
+	for i := range e.Models {
+		m := &e.Models[i]
+		if !e.Leaving && e.version(m) < m.WantedWeights && (next == nil || m.Overdue && !next.Overdue) {
+			next = m
+		}
+	}
+	return next
+}
 
-// weightsVersion returns the newest version that the engine is known to serve; the version never decreases.
-func (e *engine) weightsVersion() uint64 {
-	if e.reported {
-		return max(e.Weights, e.lastReport.Weights)
+// version returns the version of a model that the engine serves, as far as the directory or the engine itself shows.
+func (e *engine) version(m *Model) uint64 { return max(m.Weights, e.served[m.Name]) }
+
+// model returns a model of the engine, or nil.
+func (e *engine) model(name string) *Model {
+	for i := range e.Models {
+		if e.Models[i].Name == name {
+			return &e.Models[i]
+		}
 	}
-	return e.Weights
+	return nil
+}
+
+// hasLoaded reports whether the last order has had its effect, or none is wanted any more.
+func (e *engine) hasLoaded() bool {
+	m := e.model(e.loading)
+	return m == nil || e.version(m) >= m.WantedWeights
 }
 
 func (m Engines) apply(c *Core, _ time.Duration, _ *Effects) {
@@ -135,7 +161,7 @@
 	for _, info := range m.List {
 		e := c.byID[info.ID]
 		if e == nil {
-			e = &engine{}
+			e = &engine{served: map[string]uint64{}}
 		}
 		e.Engine = info
 		kept = append(kept, e)
@@ -181,15 +207,16 @@
 		return
 	}
 	e.lastReport, e.reported = m, true
+	maps.Copy(e.served, m.Weights)
 	switch {
 	case m.Executing:
 		if e.stage != ordered {
 			e.setStage(now, ordered, effects)
 		}
 		e.unanswered = false
-	case e.stage == ordered && m.MadeAt >= e.stageSince && (m.Weights >= e.WantedWeights || m.MadeAt >= e.stageSince+orderEffectTimeout):
+	case e.stage == ordered && m.MadeAt >= e.stageSince && (e.hasLoaded() || m.MadeAt >= e.stageSince+orderEffectTimeout):
 		e.setStage(now, serving, effects)
-		if m.Weights < e.WantedWeights {
+		if !e.hasLoaded() {
 			e.backoffUntil = now + orderBackoff
 		}
 	}
@@ -205,7 +232,9 @@
 		e.unanswered = true
 	case Accepted:
 	case AlreadyServed:
-		e.lastReport.Weights, e.reported = max(e.lastReport.Weights, e.WantedWeights), true
+		if loaded := e.model(e.loading); loaded != nil {
+			e.served[loaded.Name] = max(e.served[loaded.Name], loaded.WantedWeights)
+		}
 		e.setStage(now, serving, effects)
 	default:
 		if m.Result == Fenced {
@@ -243,7 +272,7 @@
 	}
 	maxLoading := max(1, int(math.Round(c.loadShare*float64(len(c.engines)))))
 	for _, e := range c.engines {
-		if e.stage == draining && !e.needsLoad() {
+		if e.stage == draining && e.due() == nil {
 			e.setStage(now, serving, effects)
 			drainCount--
 		}
@@ -253,7 +282,7 @@
 		}
 	}
 	for _, e := range c.oldestFirst() {
-		if e.stage == serving && e.needsLoad() && now >= e.backoffUntil && loadCount+drainCount < 2*maxLoading {
+		if e.stage == serving && e.due() != nil && now >= e.backoffUntil && loadCount+drainCount < 2*maxLoading {
 			e.setStage(now, draining, effects)
 			drainCount++
 		}
@@ -269,21 +298,31 @@
 // order orders an engine to load.
 func (c *Core) order(now time.Duration, e *engine, effects *Effects) {
 	e.setStage(now, ordered, effects)
+	due := e.due()
+	e.loading = due.Name
 	retain := !c.mayInterruptAll(now, e.lastReport)
 	if !retain {
 		c.interrupted = append(c.interrupted, interruption{now, e.lastReport.repeatable()})
 	}
-	effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: e.Model, Weights: e.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence, Retain: retain})
+	effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: due.Name, Weights: due.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence, Retain: retain})
 }
 
-// oldestFirst returns the engines sorted by the weights version that they serve. Otherwise the engines loaded last could starve the
+// oldestFirst returns the engines sorted by how far their weights are behind. Otherwise the engines loaded last could starve the
 // others when new versions are named faster than they can be rolled out.
 func (c *Core) oldestFirst() []*engine {
 	list := slices.Clone(c.engines)
-	slices.SortStableFunc(list, func(a, b *engine) int { return cmp.Compare(a.weightsVersion(), b.weightsVersion()) })
+	slices.SortStableFunc(list, func(a, b *engine) int { return cmp.Compare(b.lag(), a.lag()) })
 	return list
 }
 
+// lag returns by how many versions the weights of the model that the engine is to load next are behind.
+func (e *engine) lag() uint64 {
+	if due := e.due(); due != nil {
+		return due.WantedWeights - e.version(due)
+	}
+	return 0
+}
+
 // readyToLoad reports whether an engine may be ordered to load: its report is newer than the start of the drain, and it shows no
 // request, or the timeout for the remaining requests has passed and the VMs may repeat those that can move. Without a report the
 // sequence number of the order is not known.
@@ -301,7 +340,7 @@
 	case now < e.stageSince+timeout:
 		return false
 	}
-	return e.Overdue || c.mayInterrupt(now, e.lastReport.repeatable())
+	return e.due().Overdue || c.mayInterrupt(now, e.lastReport.repeatable())
 }
 
 // repeatable returns the number of requests in progress that can move to another engine.
--- a/relay/rollout/core_test.go
+++ b/relay/rollout/core_test.go
@@ -63,7 +63,7 @@
 	var engines rollout.Engines
 	for i := range len(s.engines) {
 		id := fmt.Sprintf("e%02d", i)
-		engines.List = append(engines.List, rollout.Engine{ID: id, Model: "m", Weights: 1, WantedWeights: s.wantedWeights, Overdue: s.overdue})
+		engines.List = append(engines.List, rollout.Engine{ID: id, Models: []rollout.Model{{Name: "m", Weights: 1, WantedWeights: s.wantedWeights, Overdue: s.overdue}}})
 	}
 	return engines
 }
@@ -137,7 +137,7 @@
 	if s.now < f.repeatableUntil {
 		running++
 	}
-	s.core.Step(s.now, rollout.Report{ID: id, MadeAt: s.now - s.reportLag, Weights: f.weights, Executing: f.loading(s.now - s.reportLag), Sequence: f.sequence, ActiveRequests: running, NonRepeatableRequests: nonRepeatable})
+	s.core.Step(s.now, rollout.Report{ID: id, MadeAt: s.now - s.reportLag, Weights: map[string]uint64{"m": f.weights}, Executing: f.loading(s.now - s.reportLag), Sequence: f.sequence, ActiveRequests: running, NonRepeatableRequests: nonRepeatable})
 }
 
 // sequences returns the number of orders that all engines have accepted.
@@ -284,7 +284,7 @@
 		s.run(30 * time.Millisecond)
 		Expect(s.core.InProgress()).To(BeTrue())
 		s.engines["e00"].loadingWeights, s.engines["e01"].loadingWeights = 0, 0
-		s.core.Step(s.now, rollout.Report{ID: "e00", MadeAt: s.now, Weights: 1, Executing: true})
+		s.core.Step(s.now, rollout.Report{ID: "e00", MadeAt: s.now, Weights: map[string]uint64{"m": 1}, Executing: true})
 		s.core.Step(s.now, rollout.OrderResult{ID: "e00", Result: rollout.Fenced})
 		before := s.engines["e01"].sequence
 		s.run(4 * time.Second)
--- a/relay/rollout/message.go
+++ b/relay/rollout/message.go
@@ -7,16 +7,21 @@
 	apply(c *Core, now time.Duration, effects *Effects)
 }
 
-// Engine is an engine of the directory: Weights is the version listed there, WantedWeights the version that it should serve.
-type Engine struct {
-	ID            string
-	Model         string
+// Model is a model that an engine serves: Weights is the version listed in the directory, WantedWeights the version that it should serve.
+type Model struct {
+	Name          string
 	Weights       uint64
 	WantedWeights uint64
+	// Overdue weights are loaded whether or not the requests in progress could be repeated.
+	Overdue bool
+}
+
+// Engine is an engine of the directory with those of its models that have a wanted version.
+type Engine struct {
+	ID     string
+	Models []Model
 	// Leaving engines get no new weights.
 	Leaving bool
-	// Overdue engines load whether or not the requests in progress could be repeated.
-	Overdue bool
 }
 
 // Engines replaces the set of engines.
@@ -40,8 +45,9 @@
 type Report struct {
 	ID string
 	// MadeAt is the earliest time at which the engine can have made the report.
-	MadeAt  time.Duration
-	Weights uint64
+	MadeAt time.Duration
+	// Weights are the versions that the engine serves, by model.
+	Weights map[string]uint64
 	// Executing is set while the engine executes an order.
 	Executing bool
 	// Sequence is the number of orders that the engine has accepted.
--- a/relay/vm/orders.go
+++ b/relay/vm/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -171,13 +172,15 @@
 	clear(o.addresses)
 	for i := range list.Upstreams {
 		u := &list.Upstreams[i]
+		engine := rollout.Engine{ID: u.ID, Leaving: u.Leaving}
 		for _, m := range u.Models {
-			wanted, ok := s.weights[m.Name]
-			if !ok {
-				continue
+			if wanted, ok := s.weights[m.Name]; ok {
+				engine.Models = append(engine.Models, rollout.Model{Name: m.Name, Weights: m.Weights, WantedWeights: wanted.Version, Overdue: o.overdue(m.Weights, wanted, s.registryTime)})
 			}
+		}
+		if len(engine.Models) > 0 {
 			o.addresses[u.ID] = u.Address
-			engines.List = append(engines.List, rollout.Engine{ID: u.ID, Model: m.Name, Weights: m.Weights, WantedWeights: wanted.Version, Leaving: u.Leaving, Overdue: o.overdue(m.Weights, wanted, s.registryTime)})
+			engines.List = append(engines.List, engine)
 		}
 	}
 	return engines
@@ -217,9 +220,7 @@
 	for i := range list.Upstreams {
 		u := &list.Upstreams[i]
 		report := directory.Report{ID: u.ID, Loading: o.core.OutOfRotation(u.ID), StartedAt: u.StartedAt}
-		if weights := o.core.ReportedWeights(u.ID); weights > 0 && len(u.Models) > 0 {
-			report.Models = []directory.Model{{Name: u.Models[0].Name, Weights: weights}}
-		}
+		report.Models = o.reportedModels(u)
 		if report.Loading || report.Models != nil || u.Loading {
 			o.state.applyReport(report)
 		}
@@ -230,6 +231,20 @@
 	o.host.PublishBoard(directory.Encode(o.state.list.Load().Upstreams), listedAt)
 }
 
+// reportedModels returns an engine's models with the weights from its reports, or nil if it has reported none.
+func (o *orderSender) reportedModels(u *directory.Upstream) []directory.Model {
+	models, reported := slices.Clone(u.Models), false
+	for i := range models {
+		if weights := o.core.ReportedWeights(u.ID, models[i].Name); weights > 0 {
+			models[i].Weights, reported = weights, true
+		}
+	}
+	if !reported {
+		return nil
+	}
+	return models
+}
+
 // poll requests an engine's load report.
 func (o *orderSender) poll(ctx context.Context, id string, address netip.AddrPort) {
 	polledAt := o.host.Now()
@@ -242,11 +257,13 @@
 		o.log.WithFields(log.Fields{"upstream": id, "cause": err.Error()}).Info("engine report missing")
 		return
 	}
+	weights := make(map[string]uint64, len(report.Models))
 	for _, m := range report.Models {
-		o.deliver(ctx, rollout.Report{
-			ID: id, MadeAt: polledAt - maxReportAge, Weights: m.Weights, Executing: report.Executing, Sequence: report.Sequence, ActiveRequests: len(report.Priorities), NonRepeatableRequests: nonRepeatableRequests(report.Priorities),
-		})
+		weights[m.Name] = m.Weights
 	}
+	o.deliver(ctx, rollout.Report{
+		ID: id, MadeAt: polledAt - maxReportAge, Weights: weights, Executing: report.Executing, Sequence: report.Sequence, ActiveRequests: len(report.Priorities), NonRepeatableRequests: nonRepeatableRequests(report.Priorities),
+	})
 }
 
 // nonRepeatableRequests counts the requests in progress that cannot continue at another engine, by their priorities.
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -323,7 +323,7 @@
 // correctWeights updates the directory if a response shows another weights version than the one on record.
 func (p *placer) correctWeights(u *directory.Upstream, r *forward.PlacementRequest, h forward.AnswerMetadata) {
 	if h.Weights > 0 && h.Weights != u.Weights(r.Metadata.Model) {
-		p.state.applyReport(directory.Report{ID: u.ID, Models: []directory.Model{{Name: r.Metadata.Model, Weights: h.Weights}}, Loading: u.Loading, StartedAt: u.StartedAt})
+		p.state.applyReport(directory.Report{ID: u.ID, Models: u.WithWeights(r.Metadata.Model, h.Weights), Loading: u.Loading, StartedAt: u.StartedAt})
 	}
 }
 
