Don't take a resumed stream for complete that ends without the event that is due

Cause: whether a stream may end was decided from the answer at hand alone, not from what the caller still lacks. Change: the session keeps whether a part of an event has come that the caller doesn't have. An upstream that ends its answer without one has broken off.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -173,6 +174,12 @@
 			}
 			memory.release()
 		}
+		if errors.Is(err, errTornEvent) {
+			s.owesEvent = true
+		}
+		if errors.Is(err, io.EOF) && s.owesEvent {
+			err = errEventOwed
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
@@ -211,6 +218,7 @@
 	}
 	s.lastEventAt = now
 	s.forwardedEvents++
+	s.owesEvent = s.owesEvent && !isProgress(event, id)
 	s.setWriteDeadline()
 	if _, err := s.w.Write(event); err != nil {
 		return err
@@ -237,11 +245,14 @@
 // errTornEvent means that a stream ended within an event: its upstream broke off, whatever the framing of the answer says.
 var errTornEvent = errors.New("the upstream ended the stream within an event")
 
+// errEventOwed means that the upstream which resumed a stream ended it without the event within which the one before broke off.
+var errEventOwed = errors.New("the upstream ended the resumed stream without the event that is due")
+
 // errNoEvent means that a stream ended with its connection before its first event.
 var errNoEvent = errors.New("the upstream closed the connection before the first event")
 
 // readEvent returns the next event with its closing blank line, and its ID or an empty string. After the last event it returns
-// io.EOF, or errTornEvent if the answer ends within an event. The caller releases the event's memory.
+// io.EOF, or errTornEvent if the answer ends or breaks off within an event. The caller releases the event's memory.
 func readEvent(r *bufio.Reader, memory *reservation) (event []byte, id string, err error) {
 	start, ok := 0, true
 	for len(event) < maxEventBytes {
@@ -259,6 +270,9 @@
 		if errors.Is(err, io.EOF) && len(event) > 0 {
 			return nil, "", errTornEvent
 		}
+		if err != nil && len(event) > 0 {
+			return nil, "", fmt.Errorf("%w: %w", errTornEvent, err)
+		}
 		if err != nil {
 			return nil, "", err
 		}
--- a/relay/forward/broken_answer_test.go
+++ b/relay/forward/broken_answer_test.go
@@ -106,6 +106,34 @@
 		}
 	})
 
+	// Guards against a stream that breaks off within an event and that the next upstream ends without that event, in a complete frame.
+	It("is never a whole stream if the upstream that resumes it ends it without the event that is due", func() {
+		seconds := map[string]bool{
+			"": false, ": note\n\n": false, event(1): false, event(1) + ": note\n\n": false,
+			event(2): true, event(1) + event(2): true, event(2) + event(3): true, event(2) + ": note\n\n": true,
+		}
+		// The first one breaks off behind a byte of the second event, its first line, a part of its data, its data, and its last line.
+		for _, part := range []int{1, 6, 9, 14, len(event(2)) - 1} {
+			cut := len(event(1)) + part
+			firsts := map[string]string{
+				"by length":           floodHead + "Content-Length: 1000\r\n\r\n" + events[:cut],
+				"by chunks":           floodHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(events[:cut]),
+				"in chunks, complete": floodHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(events[:cut]) + "0\r\n\r\n",
+				"until close":         floodHead + "\r\n" + events[:cut],
+			}
+			for name, first := range firsts {
+				for framing, write := range upstreamFramings {
+					for rest, complete := range seconds {
+						if rest == "" && framing == connection.UntilClose {
+							complete = false
+						}
+						expectLooksComplete(complete, newServerOf(sendingRaw(first), sendingRaw(write(rest))), "/note/", fmt.Sprintf("%s, then %s, %q", name, framing, rest))
+					}
+				}
+			}
+		}
+	})
+
 	// Guards against a resumed stream that breaks off a second time and reaches its caller in a complete frame.
 	It("is never a whole stream if the upstream that resumes it breaks off as well", func() {
 		for framing, write := range upstreamFramings {
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -57,6 +57,8 @@
 	ranAt []*directory.Upstream
 	// begun is set once the answer's header was sent to the caller.
 	begun bool
+	// owesEvent is set while the caller lacks an event of which a part has come: the stream can't be complete without it.
+	owesEvent bool
 	// lastEventID is the ID of the last event sent to the caller.
 	lastEventID  string
 	status       int
