Refuse a document of the desired state with anything behind it

Found by the review: a document that is followed by the end of another one (]}) was acknowledged and in force (CONFIG). Cause: json.Decoder.More is false before a closing bracket, which it takes for the end of an array that it is in.

--- a/relay/route/codec.go
+++ b/relay/route/codec.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/netip"
 	"slices"
 	"strings"
@@ -94,6 +96,9 @@
 	if err := decoder.Decode(&d); err != nil {
 		return nil, &Invalid{Field: "document", Remedy: "send a JSON document in the format of docs/routes.md: " + err.Error()}
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, &Invalid{Field: "document", Remedy: "send exactly one JSON document, without data after it"}
+	}
 	s := &State{Number: d.Version, Limits: Limits{Headers: d.Limits.Headers, Body: d.Limits.Body, Header: time.Duration(d.Limits.Header), Idle: time.Duration(d.Limits.Idle)}}
 	for _, r := range d.Routes {
 		out := Route{
--- a/relay/route/route_test.go
+++ b/relay/route/route_test.go
@@ -164,6 +164,8 @@
 			Expect(invalid.Error()).To(ContainSubstring(field))
 		},
 		Entry("been truncated", `"isolated": true}]`, `"isolated": tr`, "document"),
+		Entry("the end of another document after it", "\"isolated\": true}]\n}", "\"isolated\": true}]\n}]}", "document"),
+		Entry("another document after it", "\"isolated\": true}]\n}", "\"isolated\": true}]\n}{}", "document"),
 		Entry("an unknown field", `"version"`, `"size"`, "document"),
 		Entry("an unknown service", `"split": {"plain": 1}`, `"split": {"other": 1}`, "other"),
 		Entry("two routes with the same prefix and with hosts that differ only in case", `"/a/b/"`, `"/a/"`, "all and deep"),
