Choose a route by the path that is sent on

Found by the review by reading: /a%2Fb/ was taken for /a/b/, though the upstream gets the path as it came. Cause: the route was looked up by the decoded path. Change: the lookup takes the escaped path. Measured: the new spec failed before and passes.

--- a/relay/forward/forward_test.go
+++ b/relay/forward/forward_test.go
@@ -241,6 +241,14 @@
 		Expect(fake.taken).To(BeZero())
 	})
 
+	// Guards against a route whose prefix only the decoded path begins with, while the path is sent on as it came.
+	It("chooses the route by the path as it is sent", func() {
+		fake.list = []directory.Upstream{answering(200, "", "ok")}
+		expectStatus(http.StatusNotFound, "/read%2Fx")
+		expectStatus(http.StatusNotFound, "/%72ead/x")
+		expectStatus(http.StatusOK, "/read/%2Fx")
+	})
+
 	It("requires no key on a public route", func() {
 		fake.list = []directory.Upstream{answering(200, "", "ok")}
 		expectStatus(http.StatusOK, "/open/", "X-Key", "")
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -82,7 +82,7 @@
 		return
 	}
 	s.metadata = s.f.dialect.ReadRequest(s.r.Header)
-	s.route = table.Route(s.r.Host, s.r.URL.Path)
+	s.route = table.Route(s.r.Host, s.r.URL.EscapedPath())
 	if s.route == nil {
 		s.refuse(outcome.Refuse(outcome.NotFound, "no route matches the request's host and path; check the URL"), 0)
 		return
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -79,7 +79,7 @@
 	return sharedScopePrefix + hex.EncodeToString(digest.Sum(nil)[:8])
 }
 
-// Route returns the route of the host with the longest prefix of the path, or nil.
+// Route returns the route of the host with the longest prefix of the path, or nil. The path is the one that is sent on, not its decoded form.
 func (t *Table) Route(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
