Log the bytes of a request's body and of the body that was sent

Cause: a report says that an upstream ran a request with a changed body. The log names neither length, so that empty, cut and foreign bodies can't be told apart in it, nor from sound ones.

Change: the lines of attempts and of answers carry the bytes of the caller's body and of the one that was sent.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -402,6 +402,6 @@
 	total := s.f.now().Sub(s.arrived)
 	s.f.recorder(RequestRecord{Route: name, Status: s.status, TimeToAnswer: s.timeToAnswer, Total: total, Sends: s.sends, RefusalKind: s.refusalKind})
 	if s.refusalKind == "" {
-		s.f.log.WithFields(log.Fields{"request": s.metadata.ID, "route": name, "status": s.status, "first": s.timeToAnswer, "total": total, "pause": s.maxPause, "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "last": s.lastEventID}).Info("served")
+		s.f.log.WithFields(log.Fields{"request": s.metadata.ID, "route": name, "status": s.status, "first": s.timeToAnswer, "total": total, "pause": s.maxPause, "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "last": s.lastEventID, "body": s.bodyBytes, "sent": s.sentBytes}).Info("served")
 	}
 }
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -71,6 +71,8 @@
 	inFlight bool
 	// reservation is nil for requests that no account's rate limits.
 	reservation *Reservation
+	// bodyBytes is the length of the caller's body, sentBytes that of the body of the last attempt.
+	bodyBytes, sentBytes int
 	// sentAt is when the last attempt was sent, framing how its answer's end is marked, empty before its header arrives.
 	sentAt  time.Time
 	framing connection.Framing
@@ -146,7 +148,7 @@
 	case err != nil:
 		return outcome.Refuse(outcome.Cancelled, "the request body ended early; send the request again").WithCause(err)
 	}
-	s.body = body
+	s.body, s.bodyBytes = body, len(body)
 	return nil
 }
 
@@ -321,7 +323,7 @@
 	}
 	s.sends++
 	s.inFlight = true
-	s.framing, s.sentAt = "", s.f.now()
+	s.framing, s.sentAt, s.sentBytes = "", s.f.now(), len(s.body)
 	id := s.metadata.ID
 	timer := s.newStallTimer(cancel, p)
 	defer timer.stop()
@@ -419,7 +421,7 @@
 func (s *session) logAttempt(p *Placement, event string, status int, err error) {
 	entry := s.f.log.WithFields(log.Fields{
 		"request": s.metadata.ID, "upstream": p.Upstream.ID, "service": p.Upstream.Service, "send": s.sends, "runs": s.runs, "status": status,
-		"age": s.f.now().Sub(s.arrived), "weights": p.Weights,
+		"age": s.f.now().Sub(s.arrived), "weights": p.Weights, "body": s.bodyBytes, "sent": s.sentBytes,
 	})
 	if s.metadata.Model != "" {
 		entry = entry.WithFields(log.Fields{"parts": partIDs(s.metadata.Parts), "prompt": s.metadata.PromptTokens, "framing": s.framing, "attempt": s.f.now().Sub(s.sentAt)})
