Show that a resumed stream can be sent with an empty body

Change: a property over the sends of drawn requests: each bears the method, path, query and body of its caller, byte for byte, or is not made. Requests come with a length or in chunks, torn and abandoned, with and without limits on memory; upstreams close, cut, decline early or late, fail, break off and keep connections.

--- a/relay/forward/memory_test.go
+++ b/relay/forward/memory_test.go
@@ -26,11 +26,16 @@
 
 // newBoundedServer serves a forwarder behind a guard for a machine with an amount of memory, 0 for no limit.
 func newBoundedServer(place forward.PlaceFunc, memory int64) (*httptest.Server, *callers.Guard) {
-	decoded, err := route.Own.Decode([]byte(strings.Replace(state, `"body": 1000`, `"body": 100000`, 1)))
+	return newPooledServer(place, connection.NewPool(), memory)
+}
+
+// newPooledServer is newBoundedServer with a pool.
+func newPooledServer(place forward.PlaceFunc, pool *connection.Pool, memory int64) (*httptest.Server, *callers.Guard) {
+	decoded, err := route.Own.Decode([]byte(strings.Replace(state, `"body": 1000`, `"body": 1000000`, 1)))
 	if err != nil {
 		panic(err)
 	}
-	table, pool, budget, quiet := route.NewTable(decoded), connection.NewPool(), forward.NewBudget(), &log.Logger{Handler: discard.Default}
+	table, budget, quiet := route.NewTable(decoded), forward.NewBudget(), &log.Logger{Handler: discard.Default}
 	budget.SetLimits(1, 100)
 	budget.SetVMs(1)
 	guard := callers.New(callers.WithMemory(memory), callers.WithLog(quiet))
--- /dev/null
+++ b/relay/forward/unchanged_test.go
@@ -0,0 +1,278 @@
+package forward_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
+)
+
+// conduct is what an upstream does with one send.
+type conduct int
+
+const (
+	// closes ends the connection once the request is in, cuts before that.
+	closes conduct = iota
+	cuts
+	// declines declares the request not run once it is in, declinesEarly before that: it keeps the connection and reads on.
+	declines
+	declinesEarly
+	// fails answers with an error, breaks with the next event and the end of the connection, completes with the next event.
+	fails
+	breaks
+	completes
+)
+
+// received is one send as its upstream received it.
+type received struct {
+	id, method, target string
+	body               []byte
+	// whole reports that as many bytes of the body came as the head announces.
+	whole bool
+}
+
+// recorder is a group of upstreams that go through one list of conducts, the last one again and again, and record all sends.
+type recorder struct {
+	mu       sync.Mutex
+	conducts []conduct
+	sends    []received
+	running  sync.WaitGroup
+}
+
+func (c *recorder) next() (conduct, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.conducts[0]
+	if len(c.conducts) > 1 {
+		c.conducts = c.conducts[1:]
+	}
+	c.sends = append(c.sends, received{})
+	return next, len(c.sends)
+}
+
+func (c *recorder) record(n int, r *http.Request, body []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sends[n-1] = received{id: r.Header.Get("X-Id"), method: r.Method, target: r.RequestURI, body: body, whole: err == nil}
+}
+
+// recorded waits for the connections to end and returns the sends.
+func (c *recorder) recorded() []received {
+	c.running.Wait()
+	return c.sends
+}
+
+// upstream starts one more upstream of the group.
+func (c *recorder) upstream() directory.Upstream {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			c.running.Add(1)
+			go func() {
+				defer c.running.Done()
+				defer func() { _ = conn.Close() }()
+				for reader := bufio.NewReader(conn); c.serve(conn, reader); {
+				}
+			}()
+		}
+	}()
+	return directory.Upstream{ID: listener.Addr().String(), Address: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+// serve reads and answers one request; it reports whether the connection goes on.
+func (c *recorder) serve(conn net.Conn, reader *bufio.Reader) bool {
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	next, n := c.next()
+	answer := func(status int, headers, body string) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Id"), headers, len(body), body)
+	}
+	begun := strings.Replace(chunked, "X-Id: 1", "X-Id: "+r.Header.Get("X-Id"), 1)
+	if next == cuts {
+		c.record(n, r, nil, io.ErrUnexpectedEOF)
+		return false
+	}
+	if next == declinesEarly {
+		answer(503, "X-Not-Run: 1\r\n", "")
+	}
+	body, err := io.ReadAll(r.Body)
+	c.record(n, r, body, err)
+	switch next {
+	case closes:
+		return false
+	case declines:
+		answer(503, "X-Not-Run: 1\r\n", "")
+	case fails:
+		answer(500, "X-Whole: 1\r\n", "failed")
+	case breaks:
+		_, _ = io.WriteString(conn, begun+chunk(event(n)))
+		return false
+	case completes:
+		_, _ = io.WriteString(conn, begun+chunk(event(n))+"0\r\n\r\n")
+	}
+	return err == nil
+}
+
+// sentRequest is a caller's request.
+type sentRequest struct {
+	id, method, target string
+	body               []byte
+	// chunked sends the body in chunks, torn leaves it without its end.
+	chunked, torn bool
+	// leaves closes the connection without waiting for the answer.
+	leaves bool
+}
+
+// drawRequest draws a request with a body around the sizes at which its handling changes.
+func drawRequest(random *rand.Rand, id string) sentRequest {
+	pick := func(list ...int) int { return list[random.IntN(len(list))] }
+	path := []string{"/read/", "/book/", "/check/", "/note/", "/long/", "/once/"}[random.IntN(6)]
+	q := sentRequest{
+		id: id, method: []string{"POST", "PUT", "DELETE"}[random.IntN(3)], target: path + []string{"", "a%2Fb//c", "?", "?x=1&x=%20"}[random.IntN(4)],
+		body: make([]byte, pick(0, 1, 999, 4095, 4096, 4097, 70_000, 900_000)), chunked: random.IntN(2) == 0, leaves: random.IntN(10) == 0,
+	}
+	for i := range q.body {
+		q.body[i] = byte(random.IntN(256))
+	}
+	q.torn = q.chunked && random.IntN(10) == 0
+	return q
+}
+
+// drawConducts draws what upstreams do, with sends that have not begun before one that breaks off more often than by chance.
+func drawConducts(random *rand.Rand) []conduct {
+	var list []conduct
+	for range random.IntN(6) {
+		list = append(list, []conduct{closes, cuts, declines, declinesEarly}[random.IntN(4)])
+	}
+	for range 1 + random.IntN(4) {
+		list = append(list, []conduct{fails, breaks, completes, declinesEarly}[random.IntN(4)])
+	}
+	return list
+}
+
+// expectUnchanged sends the requests at once to a VM with an amount of memory, 0 for no limit, and expects every send to bear what its
+// caller sent, and none to be made of a body that did not come to its end.
+func expectUnchanged(conducts []conduct, memory int64, requests ...sentRequest) {
+	GinkgoHelper()
+	group, fake, pool := &recorder{conducts: conducts}, &fakePlacer{}, connection.NewPool()
+	upstreams := []directory.Upstream{group.upstream(), group.upstream(), group.upstream()}
+	for range 20 {
+		// Upstreams that come again get requests on kept connections.
+		fake.list = append(fake.list, upstreams...)
+	}
+	server, _ := newPooledServer(fake.place, pool, memory)
+	sent, callers := map[string]sentRequest{}, sync.WaitGroup{}
+	for _, q := range requests {
+		sent[q.id] = q
+		callers.Go(func() { q.send(server.Listener.Addr().String()) })
+	}
+	callers.Wait()
+	server.Close()
+	pool.Close()
+	for i, send := range group.recorded() {
+		if send.method == "" && !send.whole {
+			continue
+		}
+		q, ok := sent[send.id]
+		Expect(ok).To(BeTrue(), "send %d has the ID %q", i+1, send.id)
+		Expect(q.torn).To(BeFalse(), "send %d is of a body without its end", i+1)
+		Expect(send.method+" "+send.target).To(Equal(q.method+" "+q.target), "send %d", i+1)
+		if send.whole {
+			Expect(bytes.Equal(send.body, q.body)).To(BeTrue(), "send %d has %d bytes instead of the caller's %d, or others; upstreams %v", i+1, len(send.body), len(q.body), conducts)
+		} else {
+			Expect(bytes.HasPrefix(q.body, send.body)).To(BeTrue(), "the part of send %d", i+1)
+		}
+	}
+}
+
+// send sends the request as its caller and reads the answer.
+func (q sentRequest) send(address string) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Key: k\r\nConnection: close\r\n", q.method, q.target, q.id)
+	if q.chunked {
+		text.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		for rest := q.body; len(rest) > 0; {
+			part := rest[:min(len(rest), 3000)]
+			rest = rest[len(part):]
+			fmt.Fprintf(&text, "%x\r\n%s\r\n", len(part), part)
+		}
+		if !q.torn {
+			text.WriteString("0\r\n\r\n")
+		}
+	} else {
+		fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n%s", len(q.body), q.body)
+	}
+	// An error means that the VM refused the request before it was in.
+	_, _ = io.WriteString(conn, text.String())
+	if q.torn {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	if !q.leaves {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// seeds returns the number of seeds: 20, or CHICORY_SEEDS.
+func seeds() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("CHICORY_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+	return 20
+}
+
+// Guards against requests that an upstream runs with another method, path, query or body than their caller's, whatever the sends before
+// them came to.
+var _ = Describe("each send of a request bears what its caller sent", func() {
+	It("also if a stream breaks off after three sends that had not begun", func() {
+		for _, before := range [][]conduct{{declines, declines, declines}, {closes, declines, closes}, {closes, closes, closes}} {
+			for _, size := range []int{1, 999, 5000} {
+				expectUnchanged(append(before, breaks, completes), 0, sentRequest{id: "1", method: "POST", target: "/note/", body: bytes.Repeat([]byte("x"), size)})
+			}
+		}
+	})
+
+	It("with drawn requests and upstreams", func() {
+		for seed := range seeds() {
+			By(fmt.Sprintf("seed %d", seed))
+			random := rand.New(rand.NewPCG(seed, 45))
+			for range 10 {
+				memory := []int64{0, 2 << 20, 16 << 20}[random.IntN(3)]
+				var requests []sentRequest
+				for i := range 1 + random.IntN(4) {
+					requests = append(requests, drawRequest(random, strconv.Itoa(i)))
+				}
+				expectUnchanged(drawConducts(random), memory, requests...)
+			}
+		}
+	})
+})
