Keep the body of a stream that may be resumed after its last unbegun send

The question was asked before the answer began, when four sends are the limit; once it has begun, eight are. The fourth send was thus taken for the last one.

Change: whether the body may still be needed is asked for both cases, and a request whose body was released is never sent again, whatever the limits say.

Why it works: the second condition holds for any later change of the first; a wrong release ends the answer instead of sending another request.

--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -45,8 +45,10 @@
 	route            *route.Route
 	metadata         RequestMetadata
 	placementRequest *PlacementRequest
-	body             []byte
-	target           string
+	// body is the request's body, which is released once no further send may need it.
+	body         []byte
+	bodyReleased bool
+	target       string
 	// ownScope is the scope of a request whose account was isolated when it arrived, else empty.
 	ownScope string
 	// sentTo are the addresses of the attempts so far.
@@ -241,10 +243,13 @@
 	return p, err
 }
 
-// mayRunAgain reports whether the request may be sent after its attempts so far.
-func (s *session) mayRunAgain() bool {
+// mayRunAgain reports whether the request may be sent after its attempts so far. Without its body it may not.
+func (s *session) mayRunAgain() bool { return !s.bodyReleased && s.maySend(s.begun) }
+
+// maySend is mayRunAgain for an answer that has begun or not.
+func (s *session) maySend(begun bool) bool {
 	switch {
-	case s.begun && s.sends >= maxStreamSends || !s.begun && s.sends >= maxSends:
+	case begun && s.sends >= maxStreamSends || !begun && s.sends >= maxSends:
 		return false
 	case s.runs == 0:
 		return true
@@ -255,17 +260,17 @@
 	return s.route.Kind == route.Stream || s.runs < s.attempts()
 }
 
-// mayRunOnceMore reports whether the request may be sent again even if its present attempt counts as a run.
-func (s *session) mayRunOnceMore() bool {
+// mayNeedBody reports whether the request may be sent again after its present attempt, whether that begins the answer or not.
+func (s *session) mayNeedBody() bool {
 	s.runs++
 	defer func() { s.runs-- }()
-	return s.mayRunAgain()
+	return s.maySend(s.begun) || s.route.Kind == route.Stream && s.maySend(true)
 }
 
-// releaseBody returns the memory of the request's body, which no further attempt needs.
+// releaseBody returns the memory of the request's body, after which the request is not sent again.
 func (s *session) releaseBody(answer *connection.Response) {
 	if s.body != nil && answer.Sent() {
-		s.body = nil
+		s.body, s.bodyReleased = nil, true
 		callers.ReleaseBody(s.r.Context())
 	}
 }
@@ -368,7 +373,7 @@
 		discardAnswer(answer)
 		return false, fmt.Errorf("the upstream answered the resumption of a stream with status %d", answer.Status)
 	}
-	if !s.mayRunOnceMore() {
+	if !s.mayNeedBody() {
 		s.releaseBody(answer)
 	}
 	if s.route.Kind == route.Stream && answer.Status < http.StatusMultipleChoices {
