Write the loop of a test upstream as the linter asks

Cause: revive refuses a loop with an empty block.

Change: the loop of the recording upstream has a body; nothing else changes.

Measured: revive and staticcheck pass on relay/forward, and so do the specs.

--- a/relay/forward/unchanged_test.go
+++ b/relay/forward/unchanged_test.go
@@ -93,7 +93,9 @@
 			go func() {
 				defer c.running.Done()
 				defer func() { _ = conn.Close() }()
-				for reader := bufio.NewReader(conn); c.serve(conn, reader); {
+				reader := bufio.NewReader(conn)
+				for more := true; more; {
+					more = c.serve(conn, reader)
 				}
 			}()
 		}
