Log what identifies a request that comes again

Cause: when one request ends replica after replica, the lines of its broken attempts name only the ID of each attempt, so that requests that are the same can't be told from others, and how long a call had run is missing.

Change: the lines of attempts carry the fingerprint of the request (client account, method, host, path with query, and body) and the age of the attempt, for calls too.

--- a/relay/forward/placement.go
+++ b/relay/forward/placement.go
@@ -12,10 +12,12 @@
 
 // PlacementRequest describes one request to the placement function.
 type PlacementRequest struct {
-	ID       string
-	Route    *route.Route
-	Service  *route.Service
-	Metadata *RequestMetadata
+	ID string
+	// Fingerprint is the same for each request of the client account with this method, host, path, query and body.
+	Fingerprint uint64
+	Route       *route.Route
+	Service     *route.Service
+	Metadata    *RequestMetadata
 	// Scope is the scope within which requests share cached prompts.
 	Scope   string
 	Account *route.Account
@@ -60,8 +62,10 @@
 type Failure struct {
 	// Sent reports that the request may have reached the upstream, Received that the answer had begun.
 	Sent, Received bool
-	// Ended reports that the connection ended without a complete answer, as when the upstream crashes.
-	Ended bool
+	// Ended reports that the connection ended without a complete answer, as when the upstream crashes, Running the time from the
+	// sending of the request to the failure.
+	Ended   bool
+	Running time.Duration
 	// NotRun reports that the upstream declared the request not run.
 	NotRun   bool
 	Status   int
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -19,6 +19,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/directory"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/pause"
+	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 )
@@ -175,6 +176,15 @@
 		s.target = s.r.URL.RequestURI()
 	}
 	s.lastEventID = s.metadata.LastEventID
+	s.placementRequest.Fingerprint = quarantine.Fingerprint(s.accountName(), s.r.Method, s.r.Host, s.target, s.body)
+}
+
+// accountName returns the name of the request's client account, or an empty string.
+func (s *session) accountName() string {
+	if s.placementRequest.Account == nil {
+		return ""
+	}
+	return s.placementRequest.Account.Name
 }
 
 // scope returns the scope of the request's cached prompts under the present desired state, in which accounts may have become isolated
@@ -310,17 +320,13 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	header := endToEndHeader(s.r.Header)
-	account := ""
-	if s.placementRequest.Account != nil {
-		account = s.placementRequest.Account.Name
-	}
 	salt := ""
 	if p.Salt != nil {
 		// The scope may have changed while the request was queued.
 		salt = p.Salt(s.scope())
 	}
 	s.f.dialect.WriteRequest(header, UpstreamMetadata{
-		Request: &s.metadata, Account: account, Upstream: p.Upstream.ID, Remaining: time.Until(s.placementRequest.Deadline), Salt: salt, Weights: p.Weights,
+		Request: &s.metadata, Account: s.accountName(), Upstream: p.Upstream.ID, Remaining: time.Until(s.placementRequest.Deadline), Salt: salt, Weights: p.Weights,
 		Priority: p.Priority, FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, LastEventID: s.lastEventID,
 	})
 	if s.sends == 0 {
@@ -412,7 +418,7 @@
 		return true
 	}
 	s.logAttempt(p, "attempt broke", 0, err)
-	f.Ended = cause == nil && hasEnded(err)
+	f.Ended, f.Running = cause == nil && hasEnded(err), s.f.now().Sub(s.sentAt)
 	p.Fail(f)
 	return false
 }
@@ -427,9 +433,10 @@
 	entry := s.f.log.WithFields(log.Fields{
 		"request": s.metadata.ID, "upstream": p.Upstream.ID, "service": p.Upstream.Service, "send": s.sends, "runs": s.runs, "status": status,
 		"age": s.f.now().Sub(s.arrived), "weights": p.Weights, "body": s.bodyBytes, "sent": s.sentBytes,
+		"print": fmt.Sprintf("%016x", s.placementRequest.Fingerprint), "attempt": s.f.now().Sub(s.sentAt),
 	})
 	if s.metadata.Model != "" {
-		entry = entry.WithFields(log.Fields{"parts": partIDs(s.metadata.Parts), "prompt": s.metadata.PromptTokens, "framing": s.framing, "attempt": s.f.now().Sub(s.sentAt)})
+		entry = entry.WithFields(log.Fields{"parts": partIDs(s.metadata.Parts), "prompt": s.metadata.PromptTokens, "framing": s.framing})
 	}
 	if err != nil {
 		entry = entry.WithField("cause", err.Error())
