Wait for the recording upstreams of a test without a race

Cause: the test adds connections to a wait group while it waits for it, from zero. The race detector ends the package's tests for it, and a connection that is accepted late is missed.

Change: the loops that accept connections count too, and are ended first.

--- a/relay/forward/unchanged_test.go
+++ b/relay/forward/unchanged_test.go
@@ -52,6 +52,8 @@
 	conducts []conduct
 	sends    []received
 	running  sync.WaitGroup
+	// listeners are those of the upstreams, each of which accepts connections until it is closed.
+	listeners []net.Listener
 }
 
 func (c *recorder) next() (conduct, int) {
@@ -71,8 +73,11 @@
 	c.sends[n-1] = received{id: r.Header.Get("X-Id"), method: r.Method, target: r.RequestURI, body: body, whole: err == nil}
 }
 
-// recorded waits for the connections to end and returns the sends.
+// recorded ends the upstreams, waits for their connections to end and returns the sends.
 func (c *recorder) recorded() []received {
+	for _, listener := range c.listeners {
+		_ = listener.Close()
+	}
 	c.running.Wait()
 	return c.sends
 }
@@ -82,24 +87,22 @@
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { _ = listener.Close() })
-	go func() {
+	c.listeners = append(c.listeners, listener)
+	c.running.Go(func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			c.running.Add(1)
-			go func() {
-				defer c.running.Done()
+			c.running.Go(func() {
 				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
 				for more := true; more; {
 					more = c.serve(conn, reader)
 				}
-			}()
+			})
 		}
-	}()
+	})
 	return directory.Upstream{ID: listener.Addr().String(), Address: netip.MustParseAddrPort(listener.Addr().String())}
 }
 
