Send calls to services with the path and query that their callers wrote

What callers would see: a plain service gets a call with another path or query.

Cause: the path was cut out of the parsed URL by the decoded name, and was parsed once more for the call.

Change: name, path and query are cut out of the target as it came, and are written as they are. A name with an escaped slash is answered with 404.

--- a/relay/gateway/service.go
+++ b/relay/gateway/service.go
@@ -4,12 +4,14 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/callers"
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
@@ -52,20 +54,17 @@
 		g.refuse(w, info, err)
 		return
 	}
-	name := mux.Vars(r)["service"]
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+name)
-	if path == "" {
-		path = "/"
+	name, path, query := splitTarget(callers.Target(r))
+	if name != mux.Vars(r)["service"] {
+		g.notFound(w, r)
+		return
 	}
 	body, err := g.readBody(w, r)
 	if err != nil {
 		g.refuse(w, info, err)
 		return
 	}
-	call := upstream.ServiceCall{Method: r.Method, Path: path, Header: http.Header{}, Body: body}
-	if r.URL.RawQuery != "" {
-		call.Path += "?" + r.URL.RawQuery
-	}
+	call := upstream.ServiceCall{Method: r.Method, Path: path + query, Header: http.Header{}, Body: body}
 	for _, header := range forwardedHeaders {
 		if value := r.Header.Get(header); value != "" {
 			call.Header.Set(header, value)
@@ -81,6 +80,22 @@
 	g.callOnce(w, r, info, rule, call)
 }
 
+// splitTarget returns the decoded name in a target /services/NAME/PATH?QUERY, empty if it is malformed, and the service's path and query
+// as the caller wrote them; the query begins with its question mark.
+func splitTarget(target string) (name, path, query string) {
+	path = target
+	if i := strings.IndexByte(target, '?'); i >= 0 {
+		path, query = target[:i], target[i:]
+	}
+	segments := strings.SplitN(path, "/", 4)
+	if len(segments) < 3 {
+		return "", "", ""
+	}
+	// The name is empty after an error.
+	name, _ = url.PathUnescape(segments[2])
+	return name, "/" + strings.Join(segments[3:], ""), query
+}
+
 // callIdempotent makes an idempotent call and retries it at the other replicas after a failure.
 func (g *Gateway) callIdempotent(w http.ResponseWriter, r *http.Request, info requestInfo, rule catalogue.Rule, call upstream.ServiceCall) {
 	replicas := accepting(g.client, Replicas(info.catalogue, rule.Service, commonRegions(rule.Regions, info.account.Regions), info.id))
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -15,7 +15,7 @@
 // ServiceCall is one request to a plain service.
 type ServiceCall struct {
 	Method string
-	// Path is the path and query of the request.
+	// Path is the path and query of the request as its caller wrote them; it begins with a single slash.
 	Path   string
 	Header http.Header
 	Body   []byte
@@ -60,10 +60,12 @@
 	if err := c.conn.SetDeadline(time.Now().Add(c.limit)); err != nil {
 		return ServiceResponse{}, err
 	}
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.conn.RemoteAddr().String()+call.Path, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.conn.RemoteAddr().String(), bytes.NewReader(call.Body))
 	if err != nil {
 		return ServiceResponse{}, err
 	}
+	// A parsed path and query could be written in another way than the caller's.
+	request.URL.Opaque = call.Path
 	request.Header = call.Header
 	request.Close = true
 	if err := request.Write(c.conn); err != nil {
