Release a sent body also if its answer was read first

Cause: whether a body was written is asked after a short answer was read to its end, which had taken the result of the write to decide on the connection. The body of a call that may be repeated thus stayed in memory, and charged, while its answer was written to a slow caller.

Change: the result stays where Sent finds it.

Measured: the new spec fails without the change, as Sent is false after the body, and passes with it; the specs of relay/connection pass.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -257,6 +257,8 @@
 		var err error
 		select {
 		case err = <-resp.writeDone:
+			// Sent still needs it.
+			resp.writeDone <- err
 		default:
 			// The upstream responded without reading the whole body, so the rest of the body could be taken for the next request.
 			err = ErrClosed
