Keep the last send of a request until its answer has begun

What callers would see: a 502 for a request that its fourth upstream was about to answer, after three that had not run it.

Cause: a send is given up, as stalled or at a silent upstream, if the request may run at another upstream; whether it may be sent once more is decided by the limit of sends too. It is the class of the body that was released too soon: a resource is given up under another condition than its next use.

Change: both ask what the next send asks. The stall timer of such a send is started by its first event, since the limit is higher from then on.

--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -267,11 +267,16 @@
 	return s.route.Kind == route.Stream || s.runs < s.attempts()
 }
 
-// mayNeedBody reports whether the request may be sent again after its present attempt, whether that begins the answer or not.
-func (s *session) mayNeedBody() bool {
+// mayRunAfter reports whether the request may be sent again after its present attempt has run, which begins the answer or not.
+func (s *session) mayRunAfter(begun bool) bool {
 	s.runs++
 	defer func() { s.runs-- }()
-	return s.maySend(s.begun) || s.route.Kind == route.Stream && s.maySend(true)
+	return s.maySend(begun)
+}
+
+// mayNeedBody reports whether the request may be sent again after its present attempt, whether that begins the answer or not.
+func (s *session) mayNeedBody() bool {
+	return s.mayRunAfter(s.begun) || s.route.Kind == route.Stream && s.mayRunAfter(true)
 }
 
 // releaseBody returns the memory of the request's body, after which the request is not sent again.
--- a/relay/forward/silent.go
+++ b/relay/forward/silent.go
@@ -38,9 +38,8 @@
 	return paid
 }
 
-// watch reports an attempt to the function of WithWatch. An attempt is given up only if there is time for another and its retry is in the
-// budget: the many that wait at
-// one silent upstream would otherwise all be given up for the few that can be repeated.
+// watch reports an attempt to the function of WithWatch. An attempt is given up only if another may follow, if there is time for it and its
+// retry is in the budget: the many that wait at one silent upstream would otherwise all be given up for the few that can be repeated.
 func (s *session) watch(cancel context.CancelCauseFunc, p *Placement) (ended func(answered bool)) {
 	if s.f.watch == nil {
 		return func(bool) {}
@@ -48,7 +47,7 @@
 	a := &watchedAttempt{}
 	s.watched = a
 	var giveUp func() bool
-	if s.route.Repeatable() && s.otherUpstreamAllowed(p.Upstream.ID) {
+	if s.route.Repeatable() && s.otherUpstreamAllowed(p.Upstream.ID) && s.mayRunAfter(s.begun) {
 		service := s.placementRequest.Service.Name
 		giveUp = func() bool {
 			a.mu.Lock()
--- a/relay/forward/stall_timer.go
+++ b/relay/forward/stall_timer.go
@@ -56,6 +56,10 @@
 		}
 		cancel(errStalled)
 	})
+	if !s.mayRunAfter(s.begun) {
+		// The limit of sends allows another one only once the answer has begun: the first event starts the timer.
+		t.timer.Stop()
+	}
 	return t
 }
 
