--- a/standin/cmd_service.go
+++ b/standin/cmd_service.go
@@ -10,7 +10,7 @@
 )
 
 func serviceCommand() *cobra.Command {
-	var listen, name string
+	var listen, name, crashOn string
 	var delay time.Duration
 	var fault service.Fault
 	cmd := &cobra.Command{
@@ -18,6 +18,9 @@
 		Short: "serve a stand-in for a plain service that counts the runs of each Idempotency-Key",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if crashOn != "" {
+				fault.CrashOn = &crashOn
+			}
 			s := service.New(service.WithName(name), service.WithDelay(delay), service.WithFault(fault))
 			return serve(cmd.Context(), "service", listen, &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 30 * time.Second})
 		},
@@ -31,5 +34,6 @@
 	flags.IntVar(&fault.Late, "late", 0, "number of calls whose response is delayed by --late-by")
 	flags.StringVar(&fault.For, "late-by", "20s", "delay of the responses counted by --late")
 	flags.IntVar(&fault.Refuse, "refuse", 0, "number of calls that are rejected with status 503 without running")
+	flags.StringVar(&crashOn, "crash-on", "", "text at which the process exits as soon as it begins to run a call whose body contains it")
 	return cmd
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -1,10 +1,12 @@
 package service
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -30,6 +32,8 @@
 	// Refuse responds 503 without running the work, with a Retry-After of RetryAfter, such as 2, if that is not empty.
 	Refuse     int    `json:"refuse"`
 	RetryAfter string `json:"retry_after"`
+	// CrashOn is a text: the process exits as soon as it begins to run a call whose body contains it; an empty text ends this.
+	CrashOn *string `json:"crash_on,omitempty"`
 	// Leave makes the service respond 503 with leaving set, and announce in each answer that it leaves, if true, and accept calls
 	// again if false.
 	Leave *bool `json:"leave,omitempty"`
@@ -45,6 +49,8 @@
 	fault   Fault
 	late    time.Duration
 	leaving bool
+	crashOn string
+	exit    func()
 	logger  log.Interface
 }
 
@@ -60,9 +66,12 @@
 // WithFault arms faults at the start.
 func WithFault(fault Fault) Option { return func(s *Service) { s.arm(fault) } }
 
+// WithExit replaces the function that exits the process on a crash.
+func WithExit(exit func()) Option { return func(s *Service) { s.exit = exit } }
+
 // New returns a service.
 func New(opts ...Option) *Service {
-	s := &Service{name: "service", runs: map[string]int{}, logger: log.Log}
+	s := &Service{name: "service", runs: map[string]int{}, exit: func() { os.Exit(3) }, logger: log.Log}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -92,6 +101,9 @@
 	if fault.Leave != nil {
 		s.leaving = *fault.Leave
 	}
+	if fault.CrashOn != nil {
+		s.crashOn = *fault.CrashOn
+	}
 	if d, err := time.ParseDuration(fault.For); err == nil {
 		s.late = d
 	}
@@ -129,9 +141,15 @@
 		s.runs[key]++
 	}
 	closeConn, silent, late := consume(&s.fault.Close), consume(&s.fault.Silent), consume(&s.fault.Late)
-	wait := s.late
+	wait, crashes := s.late, s.crashOn != "" && bytes.Contains(raw, []byte(s.crashOn))
 	s.mutex.Unlock()
-	s.logger.WithFields(log.Fields{"service": s.name, "method": r.Method, "path": r.URL.Path, "key": key, "run": run}).Info("work ran")
+	logger := s.logger.WithFields(log.Fields{"service": s.name, "method": r.Method, "path": r.URL.Path, "key": key, "run": run})
+	logger.Info("work ran")
+	if crashes {
+		logger.WithField("at", time.Now().UnixMilli()).Warn("service crashes")
+		s.exit()
+		panic(http.ErrAbortHandler)
+	}
 	sleep(r, s.delay)
 	switch {
 	case closeConn:
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -63,4 +64,23 @@
 		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		expectRuns(url, `{"total":0,"runs":{}}`)
 	})
+
+	// Guards against a crash under other calls, and against a crash of which the call's run is not counted.
+	It("exits as soon as it begins to run a call with the given text, and under no other call", func() {
+		text, exits := "torn", atomic.Int32{}
+		server := httptest.NewServer(service.New(service.WithFault(service.Fault{CrashOn: &text}), service.WithExit(func() { exits.Add(1) })).Handler())
+		DeferCleanup(server.Close)
+		post := func(body string) error {
+			response, err := http.Post(server.URL+"/slots/3", "text/plain", strings.NewReader(body))
+			if err == nil {
+				err = response.Body.Close()
+			}
+			return err
+		}
+		Expect(post("a whole page")).To(Succeed())
+		Expect(exits.Load()).To(BeZero())
+		Expect(post("a torn page")).NotTo(Succeed())
+		Expect(exits.Load()).To(BeEquivalentTo(1))
+		expectRuns(server.URL, `{"total":2,"runs":{}}`)
+	})
 })
