Draw deadlines that end within sends in the property over sends

Cause: no draw cancelled a send while its body is written.

Change: upstreams that hang before they read the body, and callers with a deadline that ends meanwhile.

--- a/relay/forward/unchanged_test.go
+++ b/relay/forward/unchanged_test.go
@@ -26,9 +26,10 @@
 type conduct int
 
 const (
-	// closes ends the connection once the request is in, cuts before that.
+	// closes ends the connection once the request is in, cuts before that, hangs reads on only when callers with a deadline have given up.
 	closes conduct = iota
 	cuts
+	hangs
 	// declines declares the request not run once it is in, declinesEarly before that: it keeps the connection and reads on.
 	declines
 	declinesEarly
@@ -38,6 +39,9 @@
 	completes
 )
 
+// hangTime is longer than the deadline of callers that have one.
+const hangTime = 40 * time.Millisecond
+
 // received is one send as its upstream received it.
 type received struct {
 	id, method, target string
@@ -121,13 +125,16 @@
 		c.record(n, r, nil, io.ErrUnexpectedEOF)
 		return false
 	}
+	if next == hangs {
+		time.Sleep(hangTime)
+	}
 	if next == declinesEarly {
 		answer(503, "X-Not-Run: 1\r\n", "")
 	}
 	body, err := io.ReadAll(r.Body)
 	c.record(n, r, body, err)
 	switch next {
-	case closes:
+	case closes, hangs:
 		return false
 	case declines:
 		answer(503, "X-Not-Run: 1\r\n", "")
@@ -153,6 +160,8 @@
 	// absolute sends the target with scheme and host, expects announces the body with Expect: 100-continue and sends it at once, trailed
 	// ends the chunks with a trailer.
 	absolute, expects, trailed bool
+	// hurried gives the request a deadline of half of hangTime.
+	hurried bool
 	// follows sends the request on the connection of the one before, without waiting for that one's answer.
 	follows bool
 }
@@ -168,6 +177,7 @@
 		id: id, method: []string{"POST", "PUT", "DELETE", "GET", "HEAD"}[random.IntN(5)], target: path + targets[random.IntN(len(targets))],
 		body: make([]byte, pick(0, 1, 999, 4095, 4096, 4097, 70_000, 900_000)), chunked: random.IntN(2) == 0, leaves: random.IntN(10) == 0,
 		absolute: random.IntN(4) == 0, expects: random.IntN(4) == 0, trailed: random.IntN(4) == 0, follows: random.IntN(3) == 0,
+		hurried: random.IntN(4) == 0,
 	}
 	for i := range q.body {
 		q.body[i] = byte(random.IntN(256))
@@ -180,7 +190,7 @@
 func drawConducts(random *rand.Rand) []conduct {
 	var list []conduct
 	for range random.IntN(6) {
-		list = append(list, []conduct{closes, cuts, declines, declinesEarly}[random.IntN(4)])
+		list = append(list, []conduct{closes, cuts, hangs, declines, declinesEarly}[random.IntN(5)])
 	}
 	for range 1 + random.IntN(4) {
 		list = append(list, []conduct{fails, breaks, completes, declinesEarly}[random.IntN(4)])
@@ -271,6 +281,9 @@
 	if last {
 		text.WriteString("Connection: close\r\n")
 	}
+	if q.hurried {
+		fmt.Fprintf(&text, "X-Wait: %d\r\n", (hangTime / 2).Milliseconds())
+	}
 	if q.expects {
 		text.WriteString("Expect: 100-continue\r\n")
 	}
