Make a call at most once if its decoded path says so

What callers would see: a call to /services/booking/%73lots that runs at several replicas after failures, although the rule of /slots says that it must not.

Cause: whether a call is idempotent is decided by its path as it was sent; its service decides what to run by the decoded one.

Change: a call is idempotent only if it is so by both.

Measured: the new spec fails without the change for the escaped path, and passes with it; the specs of relay/gateway pass with -race.

--- a/relay/gateway/service.go
+++ b/relay/gateway/service.go
@@ -72,7 +72,7 @@
 	}
 	call.Header.Set("X-Request-Id", info.id)
 	call.Header.Set("X-Account", info.account.Name)
-	rule := info.catalogue.Rule(name, r.Method, path)
+	rule := ruleOf(info.catalogue, name, r.Method, path)
 	if rule.Idempotent {
 		g.callIdempotent(w, r, info, rule, call)
 		return
@@ -80,6 +80,15 @@
 	g.callOnce(w, r, info, rule, call)
 }
 
+// ruleOf returns the rule of a call. Its service may decode the path, so a call is idempotent only if it is so with the decoded path too.
+func ruleOf(c *catalogue.Catalogue, service, method, path string) catalogue.Rule {
+	rule := c.Rule(service, method, path)
+	if decoded, err := url.PathUnescape(path); err == nil && rule.Idempotent {
+		return c.Rule(service, method, decoded)
+	}
+	return rule
+}
+
 // splitTarget returns the decoded name in a target /services/NAME/PATH?QUERY, empty if it is malformed, and the service's path and query
 // as the caller wrote them; the query begins with its question mark.
 func splitTarget(target string) (name, path, query string) {
--- a/relay/gateway/service_test.go
+++ b/relay/gateway/service_test.go
@@ -21,18 +21,18 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
 )
 
-// callService sends a call with a target to a gateway and returns the status of its answer, and the method, target and body that the
-// service got.
-func callService(method, target string) (status int, received string) {
+// callService sends a call with a target to a gateway and returns the status of its answer, the method, target and body that the service
+// got, and whether the call was made at most once.
+func callService(method, target string) (status int, received string, once bool) {
 	GinkgoHelper()
 	service := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		received = r.Method + " " + r.RequestURI + " " + string(body)
+		received, once = r.Method+" "+r.RequestURI+" "+string(body), r.Header.Get("X-Once") != ""
 	}))
 	defer service.Close()
 	c, err := catalogue.New(1, []catalogue.Object{{Kind: "account", Name: "a", Value: json.RawMessage(fmt.Sprintf(`{"key":%q}`, catalogue.HashKey("secret")))}})
 	Expect(err).NotTo(HaveOccurred())
-	c.Rules = []catalogue.Rule{{Service: "booking", Method: http.MethodPut, Path: "/", Idempotent: true}}
+	c.Rules = []catalogue.Rule{{Service: "booking", Method: http.MethodPut, Path: "/", Idempotent: true}, {Service: "booking", Method: http.MethodPut, Path: "/slots"}}
 	c.Upstreams = []catalogue.Upstream{{
 		Name: "booking1", Address: netip.MustParseAddrPort(service.Listener.Addr().String()), Kind: catalogue.Service, Service: "booking", State: catalogue.Active,
 	}}
@@ -44,6 +44,7 @@
 			if err != nil {
 				return gateway.Answer{}, err
 			}
+			b.Call.Header.Set("X-Once", "1")
 			answer, err := connection.Call(ctx, b.Call, 1000)
 			return gateway.Answer{Status: answer.Status}, err
 		}),
@@ -58,15 +59,16 @@
 	Expect(err).NotTo(HaveOccurred())
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	Expect(err).NotTo(HaveOccurred())
-	return answer.StatusCode, received
+	return answer.StatusCode, received, once
 }
 
 // Guards against calls that a service gets with another path or query than their caller's.
 var _ = DescribeTable("a call reaches its service with the path and query of its caller", func(target, want string) {
 	for _, method := range []string{http.MethodPut, http.MethodPost} {
-		status, received := callService(method, target)
+		status, received, once := callService(method, target)
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(received).To(Equal(method + " " + want + " body"))
+		Expect(once).To(Equal(method == http.MethodPost))
 	}
 },
 	Entry("no path", "/services/booking", "/"),
@@ -81,7 +83,15 @@
 
 // Guards against a slash in the name of a service that makes another service of it.
 var _ = It("a call whose service's name has an escaped slash is refused", func() {
-	status, received := callService(http.MethodPut, "/services/booking%2Fa")
+	status, received, _ := callService(http.MethodPut, "/services/booking%2Fa")
 	Expect(status).To(Equal(http.StatusNotFound))
 	Expect(received).To(BeEmpty())
 })
+
+// Guards against calls that are repeated as idempotent because an escape in their path hides the rule that says otherwise.
+var _ = It("a call is made at most once if its path says so once it is decoded", func() {
+	for _, target := range []string{"/services/booking/slots", "/services/booking/%73lots"} {
+		_, _, once := callService(http.MethodPut, target)
+		Expect(once).To(BeTrue(), "%s", target)
+	}
+})
