--- a/relay/app_callers.go
+++ b/relay/app_callers.go
@@ -22,7 +22,6 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/gateway"
-	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
@@ -62,17 +61,13 @@
 	return upstream.New(upstream.WithHeaderTimeout(s.Times.Headers), upstream.WithReadTimeout(s.Times.Gap))
 }
 
-func newDispatcher(s settings.Settings) *dispatch.Dispatcher {
-	var options []quarantine.Option
-	if s.Data != "" {
-		options = append(options, quarantine.WithJudge())
-	}
+func newDispatcher(s settings.Settings, logger log.Interface) *dispatch.Dispatcher {
 	core := routing.New(
 		routing.WithLocation(s.Name, s.Centre, s.Region), routing.WithPolicy(routing.Policy(s.Routing.Policy)),
 		routing.WithLinks(centreLink, regionLink), routing.WithSpan(spanByName[s.Routing.Span]), routing.WithImport(s.Routing.Import), routing.WithMaxQueued(s.Limits.Queue), routing.WithSpeeds(s.Routing.Speeds),
 		routing.WithRandom(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))),
 	)
-	return dispatch.New(core, dispatch.WithQuarantine(quarantine.New(s.Name, options...)))
+	return dispatch.New(core, dispatch.WithQuarantineOf(s.Name, s.Data, logger))
 }
 
 // newGuard returns the guard of the VM's listeners, nil without limits, and applies the memory limit to the runtime.
@@ -92,7 +87,12 @@
 
 func (r *readiness) ready() bool { return !r.stopping.Load() && r.host.View().Catalogue != nil }
 
-func newBooker(s settings.Settings, host *control.Host, client *upstream.Client, logger log.Interface) *gateway.Booker {
+// newCrashGuard returns the guard of the calls to plain services.
+func newCrashGuard(d *dispatch.Dispatcher) gateway.CrashGuard {
+	return gateway.CrashGuard{Admit: d.AdmitRequest, Crashed: d.RequestCrashed, Unsent: d.RequestUnsent, Answered: d.RequestAnswered}
+}
+
+func newBooker(s settings.Settings, host *control.Host, d *dispatch.Dispatcher, client *upstream.Client, logger log.Interface) *gateway.Booker {
 	return gateway.NewBooker(
 		gateway.WithBookerLog(logger),
 		gateway.WithSubmit(submitBooking(host)),
@@ -105,6 +105,7 @@
 		}),
 		gateway.WithTimeouts(s.Times.Claim, s.Times.Lease-s.Times.Lease*clockDriftPermille/1000),
 		gateway.WithServices(client, configurationOf(host), s.Limits.Answer),
+		gateway.WithBookerCrashGuard(newCrashGuard(d)),
 		gateway.WithAttemptIDs(func() ledger.Attempt { return ledger.Attempt(uuid.New()) }),
 	)
 }
@@ -112,7 +113,7 @@
 func newGateway(s settings.Settings, host *control.Host, d *dispatch.Dispatcher, client *upstream.Client, booker *gateway.Booker, r *readiness, m *metricsRecorder, logger log.Interface) *gateway.Gateway {
 	return gateway.New(
 		gateway.WithConfiguration(configurationOf(host)), gateway.WithAcquire(d.Acquire), gateway.WithBook(booker.Book),
-		gateway.WithClient(client), gateway.WithIDs(newID), gateway.WithReady(r.ready), gateway.WithLog(logger), gateway.WithRecorder(m.observe),
+		gateway.WithClient(client), gateway.WithCrashGuard(newCrashGuard(d)), gateway.WithIDs(newID), gateway.WithReady(r.ready), gateway.WithLog(logger), gateway.WithRecorder(m.observe),
 		gateway.WithMaxBodyBytes(s.Limits.Body), gateway.WithWriteTimeout(s.Times.Write),
 		gateway.WithStartTimeout(d.Configured(), firstConfigurationTimeout),
 	)
--- a/relay/app_control.go
+++ b/relay/app_control.go
@@ -97,7 +97,7 @@
 			logger.WithField("cause", err.Error()).Warn("saved configuration not read")
 		}
 		options = append(options, control.WithInstalled(installed, func(data []byte) error {
-			return replaceFile(s.Data, installedFile, data)
+			return journal.ReplaceFile(s.Data, installedFile, data)
 		}))
 	}
 	// The wall clock gives each start a higher boot number; a VM whose clock was set back receives a higher one from the leader.
--- a/relay/booking/core.go
+++ b/relay/booking/core.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -162,6 +163,11 @@
 		}
 		return c.dispatchOnce()
 	case DialFailed:
+		var refusal *outcome.Refusal
+		if errors.As(event.Err, &refusal) {
+			// No replica may get the call.
+			return c.release(now, refusal)
+		}
 		c.replica++
 		return c.dial(now)
 	case LeaseLost, Resumed, Tick:
--- a/relay/cmd_found.go
+++ b/relay/cmd_found.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"os"
-	"path/filepath"
 
 	"github.com/samber/oops"
 	"github.com/spf13/cobra"
@@ -53,7 +52,7 @@
 		if _, err := readObjects(text); err != nil {
 			return err
 		}
-		if err := replaceFile(s.Data, foundingFile, text); err != nil {
+		if err := journal.ReplaceFile(s.Data, foundingFile, text); err != nil {
 			return err
 		}
 	}
@@ -69,31 +68,6 @@
 	return objects, err
 }
 
-// replaceFile replaces a file atomically and durably: it writes and syncs a temporary file, renames it, and syncs the folder.
-func replaceFile(folder, name string, data []byte) error {
-	path := filepath.Join(folder, name)
-	temporary := path + ".tmp"
-	if err := writeSynced(temporary, data); err != nil {
-		return oops.Wrapf(err, "cannot write %s; make the data folder writable and check its free space", name)
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		return oops.Wrapf(err, "cannot rename %s.tmp in the data folder; make the folder writable", name)
-	}
-	return oops.Wrapf(journal.Folder(folder).SyncFolder(), "cannot sync the data folder; check its disk")
-}
-
-func writeSynced(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = file.Close() }()
-	if _, err := file.Write(data); err != nil {
-		return err
-	}
-	return file.Sync()
-}
-
 func peerNames(peers []settings.Peer) []string {
 	list := make([]string, 0, len(peers))
 	for _, p := range peers {
--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -39,14 +39,17 @@
 	roomWaiting  atomic.Int64
 	roomWaited   atomic.Uint64
 	onQuarantine func(quarantine.Effects)
-	done         chan struct{}
-	stop         context.CancelFunc
+	// verdictFile is nil on a VM without a data folder.
+	verdictFile *verdictFile
+	done        chan struct{}
+	stop        context.CancelFunc
 }
 
 // queuedRequest is a request that waits in the core's queue.
 type queuedRequest struct {
 	placements  chan placement
 	sharedParts []uint64
+	fingerprint uint64
 }
 
 // Option configures a Dispatcher.
@@ -77,6 +80,9 @@
 func (d *Dispatcher) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
+	if d.verdictFile != nil {
+		go d.verdictFile.run(ctx.Done())
+	}
 	go d.loop(ctx)
 }
 
@@ -203,6 +209,9 @@
 
 // Acquire waits until the core assigns the request to an upstream. The error is an *outcome.Refusal with outcome NotRun.
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (*Ticket, error) {
+	if refusal := d.AdmitRequest(ctx, request.Fingerprint); refusal != nil {
+		return nil, refusal
+	}
 	placements := make(chan placement, 1)
 	d.post(func(now time.Duration) {
 		if remaining, admitted := d.quarantine.Admit(now, request.SharedParts); !admitted {
@@ -211,7 +220,7 @@
 		}
 		decision := d.core.Decide(now, d.routingRequest(now, request))
 		if decision.Queued {
-			d.queued[request.ID] = queuedRequest{placements, request.SharedParts}
+			d.queued[request.ID] = queuedRequest{placements, request.SharedParts, request.Fingerprint}
 			if decision.Yielded {
 				d.step(now, routing.Queued{})
 			}
@@ -223,15 +232,16 @@
 	case p := <-placements:
 		return d.newTicket(request, p)
 	case <-ctx.Done():
-		return d.abandon(ctx, request.ID, placements)
+		return d.abandon(ctx, request.ID, request.Fingerprint, placements)
 	case <-d.done:
 		return nil, outcome.Refuse(outcome.ShuttingDown, "this VM shuts down; send the request again")
 	}
 }
 
 // abandon cancels a request whose caller went away, whether it is still queued or was assigned to an upstream in the meantime.
-func (d *Dispatcher) abandon(ctx context.Context, id string, placements chan placement) (*Ticket, error) {
+func (d *Dispatcher) abandon(ctx context.Context, id string, fingerprint uint64, placements chan placement) (*Ticket, error) {
 	d.post(func(now time.Duration) {
+		d.quarantine.UnsentRequest(now, fingerprint)
 		select {
 		case p := <-placements:
 			// A refused request may have the ID of another one in progress, which must not be cancelled.
@@ -248,9 +258,10 @@
 
 func (d *Dispatcher) newTicket(request Request, p placement) (*Ticket, error) {
 	if p.decision.Refusal != nil {
+		d.RequestUnsent(request.Fingerprint)
 		return nil, p.decision.Refusal
 	}
-	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.kvImport, FetchFrom: p.fetch, SaveTo: p.save, CachedTokens: p.decision.CachedTokens, ExpectedTTFT: p.decision.ExpectedTTFT, dispatcher: d, id: request.ID, sharedParts: request.SharedParts, placedAt: time.Since(d.started), repeated: len(request.FailedUpstreams) > 0}
+	t := &Ticket{Upstream: p.upstream, Priority: p.decision.Priority, Import: p.kvImport, FetchFrom: p.fetch, SaveTo: p.save, CachedTokens: p.decision.CachedTokens, ExpectedTTFT: p.decision.ExpectedTTFT, dispatcher: d, id: request.ID, sharedParts: request.SharedParts, fingerprint: request.Fingerprint, resumed: request.Resumed, placedAt: time.Since(d.started), repeated: len(request.FailedUpstreams) > 0}
 	if p.decision.Hedge != nil {
 		t.HedgeDelay = p.decision.Hedge.Delay
 	}
@@ -280,8 +291,11 @@
 	}
 	results := make(chan result, 1)
 	d.post(func(now time.Duration) {
-		if failure.Ended {
+		switch {
+		case failure.Ended:
 			t.recordCrash(now)
+		case failure.NotRun || !failure.Sent:
+			d.quarantine.UnsentRequest(now, t.fingerprint)
 		}
 		if failure.Pause > 0 {
 			d.step(now, routing.Pause{Upstream: t.Upstream.Name, For: failure.Pause})
@@ -317,7 +331,7 @@
 			tickets <- nil
 			return
 		}
-		tickets <- &Ticket{Upstream: d.upstreams[decision.Upstream], Priority: decision.Priority, dispatcher: d, id: t.id, sharedParts: t.sharedParts, placedAt: now}
+		tickets <- &Ticket{Upstream: d.upstreams[decision.Upstream], Priority: decision.Priority, dispatcher: d, id: t.id, sharedParts: t.sharedParts, fingerprint: t.fingerprint, resumed: t.resumed, placedAt: now}
 	})
 	select {
 	case second := <-tickets:
--- a/relay/dispatch/quarantine.go
+++ b/relay/dispatch/quarantine.go
@@ -42,17 +42,29 @@
 	effects := d.quarantine.Tick(now)
 	d.quarantined.Store(int64(d.quarantine.Count(now)))
 	if len(effects.Notices) > 0 {
-		d.refuseQuarantined(now)
+		d.refuseQuarantined(now, effects.Notices)
+		if d.verdictFile != nil {
+			d.verdictFile.save(time.Now(), d.quarantine.Verdicts(now))
+		}
 	}
 	if len(effects.Notices)+len(effects.Outgoing) > 0 {
 		d.onQuarantine(effects)
 	}
 }
 
-func (d *Dispatcher) refuseQuarantined(now time.Duration) {
+func (d *Dispatcher) refuseQuarantined(now time.Duration, notices []quarantine.Notice) {
 	for id, q := range d.queued {
+		refusal := (*outcome.Refusal)(nil)
 		if remaining, quarantined := d.quarantine.Quarantined(now, q.sharedParts); quarantined {
-			q.placements <- placement{decision: routing.Decision{Refusal: quarantineRefusal(remaining)}}
+			refusal = quarantineRefusal(remaining)
+		}
+		for _, notice := range notices {
+			if notice.Request && !notice.Lifted && notice.Part == q.fingerprint {
+				refusal = requestRefusal(notice.TrialIn)
+			}
+		}
+		if refusal != nil {
+			q.placements <- placement{decision: routing.Decision{Refusal: refusal}}
 			delete(d.queued, id)
 			d.step(now, routing.Cancelled{ID: id})
 		}
@@ -69,7 +81,7 @@
 	if t.firstTokenAt > 0 && now-t.firstTokenAt >= beginTime {
 		return
 	}
-	t.dispatcher.quarantine.Crashed(now, quarantine.Crash{Upstream: t.Upstream.Name, Parts: t.sharedParts, Running: now - t.placedAt})
+	t.dispatcher.quarantine.Crashed(now, quarantine.Crash{Upstream: t.Upstream.Name, Parts: t.sharedParts, Request: t.fingerprint, Running: now - t.placedAt})
 }
 
 // QuarantineSender returns a callback for OnQuarantine that sends the messages over a mesh and logs the verdicts; judges returns the
@@ -90,7 +102,7 @@
 		}
 		for _, notice := range effects.Notices {
 			logger.WithFields(log.Fields{
-				"part": fmt.Sprintf("%016x", notice.Part), "generation": notice.Generation, "lifted": notice.Lifted, "remaining": notice.Remaining,
+				"part": fmt.Sprintf("%016x", notice.Part), "request": notice.Request, "generation": notice.Generation, "lifted": notice.Lifted, "remaining": notice.Remaining,
 				"trial": notice.Trial, "upstreams": strings.Join(notice.Upstreams, ","),
 			}).Warn("part quarantine changed")
 		}
@@ -99,10 +111,10 @@
 
 // encodeQuarantine returns the message of a report.
 func encodeQuarantine(r quarantine.Report) *peer.Envelope {
-	m := &peer.Quarantine{Suspects: r.Suspects, Query: r.Query, Reply: r.Reply}
+	m := &peer.Quarantine{Suspects: r.Suspects, Claims: r.Claims, Grants: r.Grants, Checksum: r.Checksum, Query: r.Query, Reply: r.Reply}
 	for _, crash := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.PartCrash{
-			Upstream: crash.Upstream, Parts: crash.Parts, Age: uint32(crash.Age.Milliseconds()), Running: uint32(crash.Running.Milliseconds()),
+			Upstream: crash.Upstream, Parts: crash.Parts, Request: crash.Request, Age: uint32(crash.Age.Milliseconds()), Running: uint32(crash.Running.Milliseconds()),
 		})
 	}
 	for _, answer := range r.Answered {
@@ -110,17 +122,17 @@
 	}
 	for _, v := range r.Verdicts {
 		m.Verdicts = append(m.Verdicts, &peer.PartVerdict{
-			Part: v.Part, Generation: v.Generation, Lifted: v.Lifted, Remaining: uint32(v.Remaining.Milliseconds()), Trial: v.Trial, TrialIn: uint32(v.TrialIn.Milliseconds()),
+			Part: v.Part, Request: v.Request, Generation: v.Generation, Lifted: v.Lifted, Remaining: uint32(v.Remaining.Milliseconds()), Trial: v.Trial, TrialIn: uint32(v.TrialIn.Milliseconds()),
 		})
 	}
 	return &peer.Envelope{Body: &peer.Envelope_Quarantine{Quarantine: m}}
 }
 
 func decodeQuarantine(m *peer.Quarantine) quarantine.Report {
-	r := quarantine.Report{Suspects: m.GetSuspects(), Query: m.GetQuery(), Reply: m.GetReply()}
+	r := quarantine.Report{Suspects: m.GetSuspects(), Claims: m.GetClaims(), Grants: m.GetGrants(), Checksum: m.GetChecksum(), Query: m.GetQuery(), Reply: m.GetReply()}
 	for _, crash := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
-			Upstream: crash.GetUpstream(), Parts: crash.GetParts(),
+			Upstream: crash.GetUpstream(), Parts: crash.GetParts(), Request: crash.GetRequest(),
 			Age: time.Duration(crash.GetAge()) * time.Millisecond, Running: time.Duration(crash.GetRunning()) * time.Millisecond,
 		})
 	}
@@ -129,7 +141,7 @@
 	}
 	for _, v := range m.GetVerdicts() {
 		r.Verdicts = append(r.Verdicts, quarantine.Verdict{
-			Part: v.GetPart(), Generation: v.GetGeneration(), Lifted: v.GetLifted(), Remaining: time.Duration(v.GetRemaining()) * time.Millisecond,
+			Part: v.GetPart(), Request: v.GetRequest(), Generation: v.GetGeneration(), Lifted: v.GetLifted(), Remaining: time.Duration(v.GetRemaining()) * time.Millisecond,
 			Trial: v.GetTrial(), TrialIn: time.Duration(v.GetTrialIn()) * time.Millisecond,
 		})
 	}
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -26,6 +26,10 @@
 	TargetTTFT time.Duration
 	// SharedParts identify the parts of the prompt that other requests may have as well.
 	SharedParts []uint64
+	// Fingerprint identifies a request that comes again, 0 for none. Resumed is set if the answer to the caller has begun, so that this
+	// attempt makes a part of it only.
+	Fingerprint uint64
+	Resumed     bool
 	// PromptTokens and AnswerTokens are estimates.
 	PromptTokens int
 	AnswerTokens int
@@ -62,6 +66,8 @@
 	dispatcher  *Dispatcher
 	id          string
 	sharedParts []uint64
+	fingerprint uint64
+	resumed     bool
 	placedAt    time.Duration
 	// repeated reports that earlier attempts of the request failed.
 	repeated bool
@@ -101,10 +107,15 @@
 
 // Finish reports a complete answer.
 func (t *Ticket) Finish(incarnation uint64, counts upstream.Counts) {
-	if !t.repeated {
+	t.dispatcher.post(func(now time.Duration) {
 		// The end of a resumed answer doesn't show that an engine can write all of it.
-		t.dispatcher.post(func(now time.Duration) { t.dispatcher.quarantine.Answered(now, t.sharedParts) })
-	}
+		if !t.repeated {
+			t.dispatcher.quarantine.Answered(now, t.sharedParts)
+		}
+		if !t.resumed {
+			t.dispatcher.quarantine.AnsweredRequest(now, t.fingerprint)
+		}
+	})
 	t.FinishError(incarnation, counts)
 }
 
--- a/relay/gateway/booker.go
+++ b/relay/gateway/booker.go
@@ -41,6 +41,7 @@
 	registryTime   func(now time.Duration) (time.Time, uint64)
 	newAttempt     func() ledger.Attempt
 	client         *upstream.Client
+	crashes        CrashGuard
 	claimTimeout   time.Duration
 	maxGrantAge    time.Duration
 	maxAnswerBytes int64
@@ -77,6 +78,11 @@
 	return func(b *Booker) { b.client, b.configuration, b.maxAnswerBytes = client, configuration, maxAnswerBytes }
 }
 
+// WithBookerCrashGuard sets the guard of the calls; by default every call is admitted.
+func WithBookerCrashGuard(guard CrashGuard) BookerOption {
+	return func(b *Booker) { b.crashes = guard }
+}
+
 // WithAttemptIDs sets the source of attempt IDs, which must be unique.
 func WithAttemptIDs(next func() ledger.Attempt) BookerOption {
 	return func(b *Booker) { b.newAttempt = next }
@@ -89,7 +95,7 @@
 
 // NewBooker returns a booker; all options but WithBookerLog must be given.
 func NewBooker(options ...BookerOption) *Booker {
-	b := &Booker{log: log.Log, closing: make(chan struct{})}
+	b := &Booker{log: log.Log, crashes: newCrashGuard(), closing: make(chan struct{})}
 	for _, option := range options {
 		option(b)
 	}
@@ -131,9 +137,12 @@
 	replicas []catalogue.Upstream
 	events   chan booking.Event
 	answers  chan booking.Effect
-	// mu guards connection and ended, since a dial may complete after the call has ended.
+	// fingerprint identifies a call that comes again.
+	fingerprint uint64
+	// mu guards connection, the replica that it leads to and ended, since a dial may complete after the call has ended.
 	mu         sync.Mutex
 	connection *upstream.Connection
+	replica    string
 	ended      bool
 	cancel     context.CancelFunc
 	// recording is set once only the ledger's record of the result is outstanding.
@@ -144,7 +153,7 @@
 	configuration := b.configuration()
 	replicas := accepting(b.client, Replicas(configuration.Catalogue, call.Service, call.Regions, call.Key))
 	e := &execution{
-		booker: b, call: call, replicas: replicas,
+		booker: b, call: call, replicas: replicas, fingerprint: fingerprint(call.Account, call.Service, call.Call),
 		events: make(chan booking.Event, 8), answers: make(chan booking.Effect, 1), cancel: func() {},
 	}
 	e.core = booking.New(
@@ -265,8 +274,14 @@
 		return
 	}
 	go func() {
+		// The claim came first: only the ledger knows whether an earlier call with this key has run.
+		if refusal := e.booker.crashes.Admit(context.Background(), e.fingerprint); refusal != nil {
+			e.events <- booking.Event{Kind: booking.DialFailed, Err: refusal}
+			return
+		}
 		connection, err := e.booker.client.Dial(context.Background(), replica.Address)
 		if err != nil {
+			e.booker.crashes.Unsent(e.fingerprint)
 			e.events <- booking.Event{Kind: booking.DialFailed, Err: err}
 			return
 		}
@@ -274,9 +289,10 @@
 		defer e.mu.Unlock()
 		if e.ended {
 			connection.Close()
+			e.booker.crashes.Unsent(e.fingerprint)
 			return
 		}
-		e.connection = connection
+		e.connection, e.replica = connection, replica.Name
 		e.events <- booking.Event{Kind: booking.Dialled}
 	}()
 }
@@ -285,12 +301,14 @@
 // afterwards can't be reported as "not run".
 func (e *execution) dispatch() {
 	e.mu.Lock()
-	connection := e.connection
+	connection, replica := e.connection, e.replica
 	e.connection = nil
 	e.mu.Unlock()
 	e.events <- booking.Event{Kind: booking.FirstByteSent}
 	go func() {
+		sentAt := time.Now()
 		answer, err := connection.Call(context.Background(), e.call.Call, e.booker.maxAnswerBytes)
+		e.booker.crashes.record(e.fingerprint, replica, sentAt, err)
 		if err != nil {
 			e.events <- booking.Event{Kind: booking.ExchangeFailed, Err: err}
 			return
--- a/relay/gateway/gateway.go
+++ b/relay/gateway/gateway.go
@@ -48,6 +48,7 @@
 	acquire       func(context.Context, dispatch.Request) (*dispatch.Ticket, error)
 	book          func(context.Context, Booking) (Answer, error)
 	client        *upstream.Client
+	crashes       CrashGuard
 	progress      *progressList
 	newID         func() string
 	now           func() time.Time
@@ -81,6 +82,9 @@
 // WithClient sets the client of engines and plain services.
 func WithClient(client *upstream.Client) Option { return func(g *Gateway) { g.client = client } }
 
+// WithCrashGuard sets the guard of idempotent calls; by default every call is admitted.
+func WithCrashGuard(guard CrashGuard) Option { return func(g *Gateway) { g.crashes = guard } }
+
 // WithIDs sets the source of request IDs.
 func WithIDs(newID func() string) Option { return func(g *Gateway) { g.newID = newID } }
 
@@ -111,6 +115,7 @@
 func New(options ...Option) *Gateway {
 	g := &Gateway{
 		progress:     newProgress(),
+		crashes:      newCrashGuard(),
 		now:          time.Now,
 		recorder:     func(RequestRecord) {},
 		ready:        func() bool { return true },
--- a/relay/gateway/hedge.go
+++ b/relay/gateway/hedge.go
@@ -119,6 +119,10 @@
 	var refused *upstream.RefusedError
 	refusal := errors.As(r.err, &refused)
 	r.notRun = refusal && refused.NotRun || errors.Is(r.err, upstream.ErrNotSent)
-	r.retryDelay, r.retryAllowed = r.ticket.Fail(dispatch.Failure{Sent: true, Leaving: refusal && refused.Leaving, NotRun: r.notRun, Ended: hasEnded(r.err), Pause: max(0, time.Until(s.gateway.client.PausedUntil(r.ticket.Upstream.Address)))})
+	ended := hasEnded(r.err)
+	if ended {
+		s.crashes++
+	}
+	r.retryDelay, r.retryAllowed = r.ticket.Fail(dispatch.Failure{Sent: true, Leaving: refusal && refused.Leaving, NotRun: r.notRun, Ended: ended, Pause: max(0, time.Until(s.gateway.client.PausedUntil(r.ticket.Upstream.Address)))})
 	return r
 }
--- a/relay/gateway/service.go
+++ b/relay/gateway/service.go
@@ -113,8 +113,19 @@
 		return
 	}
 	var lastErr error
-	for _, replica := range replicas {
+	id := fingerprint(info.account.Name, rule.Service, call)
+	for i, replica := range replicas {
+		if refusal := g.crashes.Admit(r.Context(), id); refusal != nil {
+			if i == 0 {
+				g.refuse(w, info, refusal)
+				return
+			}
+			lastErr = refusal
+			break
+		}
+		sentAt := g.now()
 		answer, err := g.client.CallIdempotent(r.Context(), replica.Address, call, g.maxBodyBytes)
+		g.crashes.record(id, replica.Name, sentAt, err)
 		if err == nil && answer.Status != http.StatusBadGateway && answer.Status != http.StatusServiceUnavailable {
 			g.writeAnswer(w, info, Answer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: answer.Body})
 			return
--- a/relay/gateway/session.go
+++ b/relay/gateway/session.go
@@ -23,6 +23,13 @@
 // maxAttempts limits the attempts and resumes of one request; the routing core's retry budget usually ends it earlier.
 const maxAttempts = 6
 
+const (
+	// maxCrashes is the number of engines that may end under one request just after they began to answer it: it may be what ends them.
+	maxCrashes = 3
+	// beginTime is how long after an engine's first event its end can still be due to the request.
+	beginTime = time.Second
+)
+
 // session relays one text request from its first attempt to its end.
 type session struct {
 	gateway         *Gateway
@@ -35,6 +42,8 @@
 	dispatchRequest dispatch.Request
 	answerWriter    *answerWriter
 	record          RequestRecord
+	// crashes is the number of attempts under which the engine ended before or just after its first event.
+	crashes int
 	// mayHaveRun is set unless all attempts so far ran no part of the request.
 	mayHaveRun bool
 }
@@ -66,6 +75,7 @@
 	var lastErr error
 	for range maxAttempts {
 		queuedSince := s.gateway.now()
+		s.dispatchRequest.Resumed = s.core.Next() > 0
 		ticket, err := s.gateway.acquire(ctx, s.dispatchRequest)
 		s.record.Queued += s.gateway.now().Sub(queuedSince)
 		if err != nil {
@@ -86,7 +96,7 @@
 		s.pinVersion()
 		s.dispatchRequest.FailedUpstreams = append(s.dispatchRequest.FailedUpstreams, ticket.Upstream.Name)
 		// A stream that has begun is resumed outside the retry budget, since its caller can't be given another answer.
-		if !retryAllowed && s.core.Next() == 0 {
+		if !retryAllowed && s.core.Next() == 0 || s.crashes >= maxCrashes {
 			break
 		}
 		if s.core.Next() == previousNext {
@@ -148,12 +158,17 @@
 	s.answerWriter.weights = version.Weights
 	s.gateway.progress.setUpstream(s.requestInfo.id, started.ticket.Upstream.Name, s.core.Next(), s.core.Counts().Resumes-1)
 	started.ticket.FirstToken(started.source.Incarnation)
+	begunAt := s.gateway.now()
 	if err := s.relayEvents(started.source, started.first); err != nil {
 		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
 			started.ticket.Cancel()
 			return 0, false, err
 		}
-		retryDelay, retryAllowed := started.ticket.Fail(dispatch.Failure{Sent: true, Received: true, Ended: hasEnded(err)})
+		ended := hasEnded(err)
+		if ended && s.gateway.now().Sub(begunAt) < beginTime {
+			s.crashes++
+		}
+		retryDelay, retryAllowed := started.ticket.Fail(dispatch.Failure{Sent: true, Received: true, Ended: ended})
 		return retryDelay, retryAllowed, err
 	}
 	started.ticket.Finish(started.source.Incarnation, s.record.Counts)
--- a/relay/gateway/text.go
+++ b/relay/gateway/text.go
@@ -12,6 +12,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/prompt"
+	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/stream"
 )
 
@@ -96,7 +97,7 @@
 		gateway: g, requestInfo: info, path: r.URL.Path, body: body, parsed: parsed, assistant: assistant,
 		core: stream.New(info.id, version, from),
 		dispatchRequest: dispatch.Request{
-			ID: info.id, Account: info.account, Assistant: assistant, Levels: parsed.Levels, SharedParts: parsed.SharedParts, PromptTokens: parsed.PromptTokens,
+			ID: info.id, Account: info.account, Assistant: assistant, Levels: parsed.Levels, SharedParts: parsed.SharedParts, Fingerprint: quarantine.Fingerprint(info.account.Name, r.Method, "", r.URL.Path, raw), PromptTokens: parsed.PromptTokens,
 			AnswerTokens: parsed.AnswerTokens, Idempotent: true, Deadline: deadline, Arrived: info.arrived, Pinned: pinned,
 		},
 		answerWriter: newAnswerWriter(w, kind, parsed, info.id, g.writeTimeout),
--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -1,6 +1,13 @@
 package quarantine
 
-import "time"
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// judgeCrashes is the number of engines that must have ended under a part before a judge asks about it; ownCrashes is the number
@@ -24,14 +31,18 @@
 	tiedTrial       = 2 * time.Second
 	maxTrial        = 8 * time.Minute
 	trialTimeout    = 30 * time.Second
-	// repeatInterval is the interval at which verdicts are repeated, in case a message was lost. A VM that has started asks for them
+	// checksumInterval is the interval at which judges tell the checksum of their verdicts, and repeatInterval that at which a VM tells
+	// those that it passed itself, and asks again about a checksum that still differs. A VM that has started asks for them
 	// each queryInterval until it has an answer, and goes without one after learningTime.
-	repeatInterval = 10 * time.Second
-	queryInterval  = 250 * time.Millisecond
-	learningTime   = 3 * time.Second
+	checksumInterval = time.Second
+	repeatInterval   = 10 * time.Second
+	queryInterval    = 250 * time.Millisecond
+	learningTime     = 3 * time.Second
 	// maxSuspicions and maxVerdicts bound the memory of a core.
 	maxSuspicions = 4096
 	maxVerdicts   = 256
+	// maxTickInterval is the longest time between two ticks of a VM that has not stood still.
+	maxTickInterval = time.Second
 )
 
 // pendingCrash is a crash of this VM's requests and its time.
@@ -45,18 +56,26 @@
 	name  string
 	judge bool
 
+	// suspicions are those of parts, requests those of requests by their fingerprints.
 	suspicions map[uint64]*suspicion
+	requests   map[uint64]*requestSuspicion
+	// answeredRequests is when recent requests were last answered, by their fingerprints.
+	answeredRequests answers
 	// answered is when the parts of recent requests were last answered.
 	answered answers
 	verdicts map[uint64]*verdict
 	// crashes and answeredParts are not reported yet.
 	crashes       []pendingCrash
 	answeredParts []Answer
-	// asking are the parts about which a judge is about to ask.
+	// asking are the parts and requests about which a judge is about to ask.
 	asking []uint64
 	// cleared are the parts of which a judge has heard an answer since the last tick.
 	cleared    []Answer
 	repeatedAt time.Duration
+	// tickedAt is the time of the last tick. askedChecksum is the last one that differed from this VM's, and askedAt when it was asked about.
+	tickedAt      time.Duration
+	askedChecksum uint64
+	askedAt       time.Duration
 	// startedAt is the time of the first tick, and learned is set once the verdicts of other VMs are known.
 	startedAt, queriedAt time.Duration
 	learned              bool
@@ -69,9 +88,18 @@
 // WithJudge makes the core pass verdicts on the reports of all VMs; it is for control VMs.
 func WithJudge() Option { return func(c *Core) { c.judge = true } }
 
+// WithVerdicts gives the core the verdicts that were in force before its start.
+func WithVerdicts(verdicts []Verdict) Option {
+	return func(c *Core) {
+		for _, v := range verdicts {
+			c.adopt(0, v, nil)
+		}
+	}
+}
+
 // New returns the core of the VM with a name.
 func New(name string, options ...Option) *Core {
-	c := &Core{name: name, suspicions: map[uint64]*suspicion{}, verdicts: map[uint64]*verdict{}}
+	c := &Core{name: name, suspicions: map[uint64]*suspicion{}, requests: map[uint64]*requestSuspicion{}, verdicts: map[uint64]*verdict{}}
 	for _, option := range options {
 		option(c)
 	}
@@ -129,7 +157,7 @@
 
 // Crashed records that an engine ended under a request of this VM.
 func (c *Core) Crashed(now time.Duration, crash Crash) {
-	if len(crash.Parts) == 0 {
+	if len(crash.Parts) == 0 && crash.Request == 0 {
 		return
 	}
 	c.crashes = append(c.crashes, pendingCrash{crash, now})
@@ -140,33 +168,60 @@
 func (c *Core) Answered(now time.Duration, parts []uint64) {
 	for _, part := range parts {
 		c.answered.add(now, part)
-		if c.suspicions[part] != nil || c.inForce(now, part) != nil {
-			c.clear(now, part)
-			c.answeredParts = append(c.answeredParts, Answer{Part: part})
-		}
+		c.recordAnswer(now, part)
+	}
+}
+
+// recordAnswer ends the suspicion or the verdict of a part or request that was answered, and reports it.
+func (c *Core) recordAnswer(now time.Duration, part uint64) {
+	if c.suspicionOf(part) != nil || c.inForce(now, part) != nil {
+		c.clear(now, part)
+		c.answeredParts = append(c.answeredParts, Answer{Part: part})
 	}
 }
 
+// suspicionOf returns the suspicion of a part or request, or nil.
+func (c *Core) suspicionOf(part uint64) *suspicion {
+	if r := c.requests[part]; r != nil {
+		return &r.suspicion
+	}
+	return c.suspicions[part]
+}
+
+// answeredAt returns when a part or request was last answered, as far as it is known.
+func (c *Core) answeredAt(part uint64) (time.Duration, bool) {
+	if at, ok := c.answeredRequests.last(part); ok {
+		return at, true
+	}
+	return c.answered.last(part)
+}
+
 // Receive applies a report of another VM.
 func (c *Core) Receive(now time.Duration, from string, r Report) {
 	c.learned = c.learned || r.Reply
-	if r.Query && c.learned {
-		c.effects.Outgoing = append(c.effects.Outgoing, Outgoing{To: Sender, Name: from, Report: Report{Reply: true, Verdicts: c.exportVerdicts(now)}})
+	if r.Query && (c.learned || len(c.verdicts) > 0) {
+		c.effects.Outgoing = append(c.effects.Outgoing, Outgoing{To: Sender, Name: from, Report: Report{Reply: true, Verdicts: c.Verdicts(now)}})
 	}
 	for _, v := range r.Verdicts {
 		// A judge passes on what it hears from a VM; others hear it from the judges.
 		if c.adopt(now, v, nil) && c.judge {
 			c.send(Everyone, Report{Verdicts: []Verdict{v}})
 		}
+		if known := c.verdicts[v.Part]; v.Request && known != nil && known.Trial == from && known.Generation == v.Generation {
+			// The VM that may make the trial knows when the next one is due.
+			known.trialAt = now + v.TrialIn
+		}
 	}
 	for _, part := range r.Suspects {
-		if at, ok := c.answered.last(part); ok {
+		if at, ok := c.answeredAt(part); ok {
 			c.answeredParts = append(c.answeredParts, Answer{Part: part, Age: now - at})
 		}
 	}
 	for _, answer := range r.Answered {
 		c.receiveAnswer(now, answer)
 	}
+	c.receiveClaims(now, from, r)
+	c.compare(now, from, r.Checksum)
 	if !c.judge {
 		return
 	}
@@ -178,13 +233,14 @@
 // receiveAnswer applies an answer that another VM has seen: one after the first crash ends a suspicion, one after a verdict lifts it.
 func (c *Core) receiveAnswer(now time.Duration, answer Answer) {
 	at := now - answer.Age
-	if s := c.suspicions[answer.Part]; s != nil {
+	if s := c.suspicionOf(answer.Part); s != nil {
 		if at < s.first {
 			s.recordAnswer(at)
 			return
 		}
 		if !c.judge {
 			delete(c.suspicions, answer.Part)
+			delete(c.requests, answer.Part)
 			return
 		}
 		c.clear(now, answer.Part)
@@ -196,6 +252,11 @@
 
 // Tick drives what depends on time and returns the effects of all calls since the last one; call it every 10 to 100 ms.
 func (c *Core) Tick(now time.Duration) Effects {
+	if c.tickedAt > 0 && now-c.tickedAt > maxTickInterval {
+		// Messages of the time in which this VM stood still may have been dropped.
+		c.learned, c.startedAt = false, now
+	}
+	c.tickedAt = now
 	c.learn(now)
 	c.expire(now)
 	c.report(now)
@@ -226,11 +287,17 @@
 // expire passes the verdicts that are due and drops what is outdated.
 func (c *Core) expire(now time.Duration) {
 	c.judgeSuspicions(now)
+	c.judgeRequests(now)
 	for part, s := range c.suspicions {
 		if now-s.last >= suspicionLifetime {
 			delete(c.suspicions, part)
 		}
 	}
+	for request, s := range c.requests {
+		if now-s.last >= suspicionLifetime {
+			delete(c.requests, request)
+		}
+	}
 	for part, v := range c.verdicts {
 		if now >= v.until {
 			delete(c.verdicts, part)
@@ -253,18 +320,61 @@
 	}
 }
 
-// repeat sends the verdicts once more, in case a message was lost.
+// repeat tells everyone the checksum of a judge's verdicts, in case a message was lost or a VM was cut off. Other VMs repeat the verdicts
+// that they passed by themselves.
 func (c *Core) repeat(now time.Duration) {
-	if len(c.verdicts) > 0 && now-c.repeatedAt >= repeatInterval {
+	if c.judge {
+		if len(c.verdicts) > 0 && now-c.repeatedAt >= checksumInterval {
+			c.repeatedAt = now
+			c.send(Everyone, Report{Checksum: c.checksum()})
+		}
+		return
+	}
+	var own []uint64
+	for part, v := range c.verdicts {
+		if v.own {
+			own = append(own, part)
+		}
+	}
+	if len(own) > 0 && now-c.repeatedAt >= repeatInterval {
 		c.repeatedAt = now
-		c.send(c.audience(), Report{Verdicts: c.exportVerdicts(now)})
+		slices.Sort(own)
+		c.send(Judges, Report{Verdicts: c.exportVerdicts(now, own)})
 	}
 }
 
-func (c *Core) exportVerdicts(now time.Duration) []Verdict {
-	var verdicts []Verdict
-	for _, v := range c.verdicts {
-		verdicts = append(verdicts, v.export(now))
+// checksum returns the checksum of the verdicts that this VM knows, in any order.
+func (c *Core) checksum() (sum uint64) {
+	for part, v := range c.verdicts {
+		var text [13]byte
+		binary.LittleEndian.PutUint64(text[:], part)
+		binary.LittleEndian.PutUint32(text[8:], v.Generation)
+		if v.Lifted {
+			text[12] = 1
+		}
+		sum += xxhash.Sum64(text[:])
+	}
+	return sum
+}
+
+// compare asks a judge for its verdicts if their checksum differs from that of this VM's.
+func (c *Core) compare(now time.Duration, from string, checksum uint64) {
+	if checksum == 0 || checksum == c.checksum() || checksum == c.askedChecksum && now-c.askedAt < repeatInterval {
+		return
+	}
+	c.askedChecksum, c.askedAt = checksum, now
+	c.effects.Outgoing = append(c.effects.Outgoing, Outgoing{To: Sender, Name: from, Report: Report{Query: true}})
+}
+
+// Verdicts returns all verdicts, in the order of their parts and requests.
+func (c *Core) Verdicts(now time.Duration) []Verdict {
+	return c.exportVerdicts(now, slices.Sorted(maps.Keys(c.verdicts)))
+}
+
+func (c *Core) exportVerdicts(now time.Duration, parts []uint64) []Verdict {
+	verdicts := make([]Verdict, 0, len(parts))
+	for _, part := range parts {
+		verdicts = append(verdicts, c.verdicts[part].export(now))
 	}
 	return verdicts
 }
--- a/relay/quarantine/report.go
+++ b/relay/quarantine/report.go
@@ -2,30 +2,35 @@
 
 import "time"
 
-// Crash reports that an engine's connection ended under requests with the given parts, which the engine had just begun to answer or
+// Crash reports that an upstream's connection ended under a request with the given parts, which the upstream had just begun to answer or
 // not yet.
 type Crash struct {
 	Upstream string
 	Parts    []uint64
+	// Request is the fingerprint of the request, 0 if it has none.
+	Request uint64
 	// Age is the time since the crash, Running the time from the sending of the requests to the crash.
 	Age, Running time.Duration
 }
 
-// Answer reports that an engine answered a request with a part, Age ago.
+// Answer reports that an upstream answered a request with a part or a fingerprint, Age ago.
 type Answer struct {
 	Part uint64
 	Age  time.Duration
 }
 
-// Verdict puts a part in quarantine or lifts it. Of two verdicts on a part, that of the higher generation holds, and of two of one
+// Verdict puts a part or a request in quarantine or lifts it. Of two verdicts on a part, that of the higher generation holds, and of two of one
 // generation the lifted one.
 type Verdict struct {
-	Part       uint64
+	Part uint64
+	// Request reports that Part is the fingerprint of a request.
+	Request    bool
 	Generation uint32
 	Lifted     bool
 	// Remaining is the time for which the verdict lasts.
 	Remaining time.Duration
-	// Trial is the VM that may send one request with the part after TrialIn.
+	// Trial is the VM that may send one request with the part after TrialIn, or one quarantined request itself; it leaves the latter to
+	// the first VM that asks.
 	Trial   string
 	TrialIn time.Duration
 }
@@ -38,6 +43,10 @@
 	// Answered are the last answers to parts under suspicion or on trial, or of which a judge asked.
 	Answered []Answer
 	Verdicts []Verdict
+	// Claims are quarantined requests that the sender wants to try in place of the receiver, Grants those that it may try.
+	Claims, Grants []uint64
+	// Checksum is that of the sender's verdicts, 0 for none.
+	Checksum uint64
 	// Query asks for all verdicts, as after a start; Reply marks the answer.
 	Query, Reply bool
 }
--- a/relay/quarantine/suspicion.go
+++ b/relay/quarantine/suspicion.go
@@ -18,6 +18,47 @@
 	// answeredAt is when the part was last answered before the first crash, if known reports that it was.
 	answeredAt time.Duration
 	known      bool
+	// endings are the last crashes that count.
+	endings []ending
+}
+
+// ending is the end of an upstream's process under a request of the VM that reported it, empty for this one.
+type ending struct {
+	upstream, reporter string
+	// sent is when the request was sent, at when the upstream ended.
+	sent, at time.Duration
+}
+
+// same reports whether two requests were in progress at one end. The times that one VM reports are exact to each other.
+func (e ending) same(other ending) bool {
+	return e.upstream == other.upstream && (e.at-other.at).Abs() < restartTime &&
+		(e.reporter != other.reporter || e.sent <= other.at && other.sent <= e.at)
+}
+
+// record adds a crash.
+func (s *suspicion) record(e ending) {
+	s.endings = appendEnding(s.endings, e)
+	s.crashes++
+}
+
+// appendEnding adds a crash to the last ones.
+func appendEnding(list []ending, e ending) []ending {
+	return append(list[max(0, len(list)-maxEndings+1):], e)
+}
+
+// sharedEndings returns how many crashes of one list are in another one too.
+func sharedEndings(list, other []ending) (count int) {
+	for _, e := range list {
+		if hasEnding(other, e) {
+			count++
+		}
+	}
+	return count
+}
+
+// hasEnding reports whether an upstream's end is in a list.
+func hasEnding(list []ending, e ending) bool {
+	return slices.ContainsFunc(list, e.same)
 }
 
 // recordAnswer records an answer from before the first crash.
@@ -47,12 +88,23 @@
 // come under suspicion.
 func (c *Core) suspect(now time.Duration, crash Crash, reporter string) {
 	at := now - crash.Age
+	e := ending{upstream: crash.Upstream, reporter: reporter, sent: at - crash.Running, at: at}
+	if v := c.inForce(now, crash.Request); v != nil {
+		v.trying = false
+		v.endings = appendEnding(v.endings, e)
+		// Requests that were sent before the verdict are no trial of it.
+		if at-crash.Running >= v.since {
+			c.failTrial(now, v)
+		}
+		return
+	}
 	for _, part := range crash.Parts {
 		if v := c.inForce(now, part); v != nil {
 			c.failTrial(now, v)
 			return
 		}
 	}
+	c.suspectRequest(now, crash.Request, e)
 	for _, part := range crash.Parts {
 		s := c.suspicions[part]
 		if s == nil {
@@ -62,7 +114,7 @@
 			s = &suspicion{first: at, last: at - minCrashInterval, crashedAt: map[string]time.Duration{}}
 			c.suspicions[part] = s
 		}
-		if before, known := s.crashedAt[crash.Upstream]; known && at-before < restartTime {
+		if hasEnding(s.endings, e) {
 			continue
 		}
 		if at-s.last < minCrashInterval && at-crash.Running <= s.last {
@@ -70,7 +122,7 @@
 		}
 		s.crashedAt[crash.Upstream] = at
 		s.last, s.reporter = at, reporter
-		s.crashes++
+		s.record(e)
 		c.consider(now, part, s)
 	}
 	if !c.judge {
@@ -94,7 +146,7 @@
 	if !c.judge && s.crashes >= ownCrashes {
 		s.due = now
 	}
-	if at, ok := c.answered.last(part); ok && s.due > 0 {
+	if at, ok := c.answeredAt(part); ok && s.due > 0 {
 		s.recordAnswer(at)
 	}
 }
@@ -110,7 +162,8 @@
 	}
 	var condemned []uint64
 	for part, s := range due {
-		explained := false
+		// A request is the narrower cause of the crashes at which it was there: the part comes up again with the next one.
+		explained := c.explainedByRequest(s)
 		for _, other := range c.suspicions {
 			explained = explained || s.lessLikely(other)
 		}
--- a/relay/quarantine/verdict.go
+++ b/relay/quarantine/verdict.go
@@ -10,6 +10,14 @@
 type verdict struct {
 	Verdict
 	since, until, trialAt time.Duration
+	// claimedAt is when this VM last asked for the trial, and grantedUntil the time until which it may make the trial of another one.
+	claimedAt, grantedUntil time.Duration
+	// trying is set from this VM's trial until its outcome.
+	trying bool
+	// own is set on a verdict that this VM passed.
+	own bool
+	// endings are the last crashes under a request in quarantine.
+	endings []ending
 }
 
 func (v *verdict) export(now time.Duration) Verdict {
@@ -32,6 +40,7 @@
 		delay = tiedTrial
 	}
 	c.adopt(now, Verdict{Part: part, Generation: generation, Remaining: verdictLifetime, Trial: trial, TrialIn: delay}, slices.Sorted(maps.Keys(s.crashedAt)))
+	c.verdicts[part].own = true
 	c.send(c.audience(), Report{Verdicts: []Verdict{c.verdicts[part].export(now)}})
 }
 
@@ -54,16 +63,17 @@
 	if !c.judge || now < v.trialAt {
 		return
 	}
-	c.adopt(now, Verdict{Part: v.Part, Generation: v.Generation + 1, Remaining: verdictLifetime, Trial: v.Trial, TrialIn: trialDelay(v.Generation + 1)}, nil)
+	c.adopt(now, Verdict{Part: v.Part, Request: v.Request, Generation: v.Generation + 1, Remaining: verdictLifetime, Trial: v.Trial, TrialIn: trialDelay(v.Generation + 1)}, nil)
 	c.send(Everyone, Report{Verdicts: []Verdict{c.verdicts[v.Part].export(now)}})
 }
 
 // clear ends a suspicion and lifts a verdict after an answer. A judge tells the VMs, which may suspect the part as well.
 func (c *Core) clear(now time.Duration, part uint64) {
-	if c.judge && c.suspicions[part] != nil {
+	if c.judge && c.suspicionOf(part) != nil {
 		c.cleared = append(c.cleared, Answer{Part: part})
 	}
 	delete(c.suspicions, part)
+	delete(c.requests, part)
 	v := c.inForce(now, part)
 	if v == nil {
 		return
@@ -88,7 +98,11 @@
 		c.dropNextExpiry()
 	}
 	received.Remaining = min(received.Remaining, verdictLifetime)
-	c.verdicts[received.Part] = &verdict{Verdict: received, since: now, until: now + received.Remaining, trialAt: now + received.TrialIn}
+	v := &verdict{Verdict: received, since: now, until: now + received.Remaining, trialAt: now + received.TrialIn}
+	if known != nil && !received.Lifted {
+		v.endings, v.own = known.endings, known.own
+	}
+	c.verdicts[received.Part] = v
 	c.explain(received.Part)
 	c.effects.Notices = append(c.effects.Notices, Notice{Verdict: received, Upstreams: upstreams})
 	return true
@@ -98,6 +112,7 @@
 func (c *Core) explain(part uint64) {
 	s := c.suspicions[part]
 	delete(c.suspicions, part)
+	c.explainRequests(part)
 	if s == nil {
 		return
 	}
--- a/relay/vm/eviction_test.go
+++ b/relay/vm/eviction_test.go
@@ -28,7 +28,7 @@
 	s := settings.Settings{Name: "vm", Centre: "a"}
 	s.Routing.Policy = string(routing.Reuse)
 	st := newState(Adapter{}, &log.Logger{Handler: discard.Default})
-	d := newDispatcher(s)
+	d := newDispatcher(s, log.Log)
 	d.Run()
 	DeferCleanup(d.Stop)
 	service := &route.Service{Name: "llm", Engine: &route.Engine{Slots: 96, Memory: 90_000, Models: []string{"m"}}}
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -23,7 +23,6 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/forward"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/pause"
-	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
@@ -52,11 +51,7 @@
 	regionLink = routing.Link{RoundTrip: 16 * time.Millisecond, Price: time.Millisecond}
 )
 
-func newDispatcher(s settings.Settings) *dispatch.Dispatcher {
-	var options []quarantine.Option
-	if s.Data != "" {
-		options = append(options, quarantine.WithJudge())
-	}
+func newDispatcher(s settings.Settings, logger log.Interface) *dispatch.Dispatcher {
 	core := routing.New(
 		routing.WithLocation(s.Name, s.Centre, s.Region), routing.WithLinks(centreLink, regionLink), routing.WithSpan(routing.Everywhere),
 		routing.WithMaxQueued(s.Limits.Queue), routing.WithPrefill(28*time.Microsecond), routing.WithPolicy(routing.Policy(s.Routing.Policy)),
@@ -64,7 +59,7 @@
 		routing.WithTimes(func(t *routing.Times) { t.OutdatedAfter = s.Times.Weights - weightsMargin }),
 		routing.WithRandom(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))),
 	)
-	return dispatch.New(core, dispatch.WithQuarantine(quarantine.New(s.Name, options...)))
+	return dispatch.New(core, dispatch.WithQuarantineOf(s.Name, s.Data, logger))
 }
 
 // placer chooses an upstream for each request: for engines by the routing core, for plain services by the balance core.
@@ -233,7 +228,7 @@
 	ticket, err := p.acquire(ctx, r, dispatch.Request{
 		ID: r.ID, Account: catalogue.Account{Name: accountName(r.Account)}, Scope: r.Scope, Urgency: r.Priority,
 		Assistant: catalogue.Assistant{Name: r.Route.Name, Model: modelKey(r.Service.Name, r.Metadata.Model)},
-		Levels:    r.Levels, Parts: r.PartHashes, SharedParts: sharedParts(r.PartHashes), TargetTTFT: r.Route.Target, PromptTokens: r.Metadata.PromptTokens, AnswerTokens: answerTokens, Idempotent: r.Route.Repeatable(),
+		Levels:    r.Levels, Parts: r.PartHashes, SharedParts: sharedParts(r.PartHashes), Fingerprint: r.Fingerprint, Resumed: r.Begun, TargetTTFT: r.Route.Target, PromptTokens: r.Metadata.PromptTokens, AnswerTokens: answerTokens, Idempotent: r.Route.Repeatable(),
 		Deadline: deadline, Arrived: r.Arrived, Only: r.Only, FailedUpstreams: r.FailedUpstreams,
 	})
 	if err != nil {
@@ -358,7 +353,10 @@
 }
 
 // placeOnService places a request on a replica of a plain service.
-func (p *placer) placeOnService(_ context.Context, r *forward.PlacementRequest) (*forward.Placement, error) {
+func (p *placer) placeOnService(ctx context.Context, r *forward.PlacementRequest) (*forward.Placement, error) {
+	if refusal := p.dispatch.AdmitRequest(ctx, r.Fingerprint); refusal != nil {
+		return nil, refusal
+	}
 	list := p.state.list.Load()
 	var candidates []balance.Candidate
 	for _, u := range list.Service(r.Service.Name) {
@@ -379,6 +377,7 @@
 	}
 	p.mu.Unlock()
 	if !ok {
+		p.dispatch.RequestUnsent(r.Fingerprint)
 		return nil, outcome.Refuse(outcome.NoUpstream, "no replica of the service takes work now")
 	}
 	u := list.Find(id)
@@ -392,10 +391,19 @@
 		Upstream: u, Priority: -1,
 		Begin: func() {},
 		Finish: func(h forward.AnswerMetadata) {
+			p.dispatch.RequestAnswered(r.Fingerprint)
 			settle(func(at time.Duration) { p.balance.Completed(at, r.Service.Name, id, at-now, balanceLoad(h)) })
 		},
 		Fail: func(f forward.Failure) {
 			p.handleFailure(u, r, f)
+			switch {
+			case f.Ended:
+				p.dispatch.RequestCrashed(r.Fingerprint, u.ID, f.Running)
+			case f.NotRun || !f.Sent:
+				p.dispatch.RequestUnsent(r.Fingerprint)
+			case f.Status > 0:
+				p.dispatch.RequestAnswered(r.Fingerprint)
+			}
 			settle(func(at time.Duration) {
 				switch {
 				case f.NotRun:
@@ -408,6 +416,7 @@
 				}
 			})
 		},
+		// A request that its caller gave up may have run: the trial of a verdict is then made once its time is over.
 		Cancel: func() { settle(func(at time.Duration) { p.balance.Cancelled(at, id) }) },
 	}, nil
 }
--- a/relay/vm/weights_test.go
+++ b/relay/vm/weights_test.go
@@ -32,7 +32,7 @@
 		s.Times.Weights, s.Routing.Policy = 8*time.Second, string(routing.Reuse)
 		st = newState(Adapter{}, &log.Logger{Handler: discard.Default})
 		st.registryTime = func() time.Time { return registryTime }
-		d := newDispatcher(s)
+		d := newDispatcher(s, log.Log)
 		d.Run()
 		DeferCleanup(d.Stop)
 		p = newPlacer(s, st, d, pause.New(), st.log)
