Bound the head of a plain service's answer by itself

A plain service that sends a head without end to the standalone daemon occupies its memory: readLimitedResponse limited head and body together, and for an idempotent call the body may have limits.body (8 MiB), twice for its framing. The head is now limited to 64 KiB like that of engines, and the body has its own limit from there on.

--- a/relay/upstream/limit.go
+++ b/relay/upstream/limit.go
@@ -31,13 +31,14 @@
 	return n, err
 }
 
-// readLimitedResponse reads a response's header from a connection; header and body together may have limit bytes.
+// readLimitedResponse reads the header of a response from a connection. The body may have limit bytes with its framing.
 func readLimitedResponse(from io.Reader, limit int64, request *http.Request) (*http.Response, error) {
-	limited := &limitedReader{from, limit}
+	limited := &limitedReader{from, maxHeadBytes}
 	response, err := http.ReadResponse(bufio.NewReader(limited), request)
 	if err != nil && limited.left <= 0 {
 		// The parser reports a malformed line instead if the limit cuts one.
 		return nil, ErrResponseTooLarge
 	}
+	limited.left = limit
 	return response, err
 }
--- a/relay/upstream/limit_test.go
+++ b/relay/upstream/limit_test.go
@@ -16,8 +16,9 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
 )
 
-// pouring answers each request with the start of a response and then repeats the text until the connection is closed.
-func pouring(start, repeated string) netip.AddrPort {
+// pouring answers each request with the start of a response and then repeats the text until the connection is closed, each time after a
+// pause.
+func pouring(start, repeated string, pause time.Duration) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = l.Close() })
@@ -34,6 +35,9 @@
 				}
 				_, err := io.WriteString(conn, start)
 				for text := []byte(repeated); err == nil; {
+					if pause > 0 {
+						time.Sleep(pause)
+					}
 					_, err = conn.Write(text)
 				}
 			}()
@@ -48,26 +52,26 @@
 	call := upstream.ServiceCall{Method: http.MethodPost, Path: "/book", Header: http.Header{}}
 
 	It("ends a non-idempotent call at the limit of the headers", func() {
-		connection, err := upstream.New().Dial(context.Background(), pouring(header, noise))
+		connection, err := upstream.New().Dial(context.Background(), pouring(header, noise, 0))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = connection.Call(context.Background(), call, 1024)
 		Expect(err).To(MatchError(upstream.ErrResponseTooLarge))
 	})
 
 	It("ends a non-idempotent call at the limit of the body, which does not look complete", func() {
-		connection, err := upstream.New().Dial(context.Background(), pouring(header+"\r\n", strings.Repeat("x", 4096)))
+		connection, err := upstream.New().Dial(context.Background(), pouring(header+"\r\n", strings.Repeat("x", 4096), 0))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = connection.Call(context.Background(), call, 1024)
 		Expect(err).To(HaveOccurred())
 	})
 
 	It("ends an idempotent call at the limit of the headers", func() {
-		_, err := upstream.New().CallIdempotent(context.Background(), pouring(header, noise), call, 1024)
+		_, err := upstream.New().CallIdempotent(context.Background(), pouring(header, noise, 0), call, 1024)
 		Expect(err).To(MatchError(upstream.ErrResponseTooLarge))
 	})
 
 	It("ends an order at the limit of the headers", func() {
-		err := upstream.New().Order(context.Background(), pouring(header, noise), load, time.Minute, permitted)
+		err := upstream.New().Order(context.Background(), pouring(header, noise, 0), load, time.Minute, permitted)
 		Expect(err).To(MatchError(upstream.ErrResponseTooLarge))
 	})
 })
--- a/relay/upstream/order.go
+++ b/relay/upstream/order.go
@@ -68,7 +68,7 @@
 		}
 		return err
 	}
-	response, err := readLimitedResponse(conn, maxHeadBytes, nil)
+	response, err := readLimitedResponse(conn, maxFramingBytes, nil)
 	if err != nil {
 		return err
 	}
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -49,8 +49,11 @@
 	return &Connection{client: c, address: address, conn: conn, limit: c.headerTimeout}, nil
 }
 
-// framingFactor allows for the chunk headers of a body.
-const framingFactor = 2
+// framingFactor and maxFramingBytes allow for the chunk headers and the trailers of a body.
+const (
+	framingFactor   = 2
+	maxFramingBytes = 64 << 10
+)
 
 // Call sends the call and reads a response of at most limit bytes. After an error the call may have run.
 func (c *Connection) Call(ctx context.Context, call ServiceCall, limit int64) (ServiceResponse, error) {
@@ -71,7 +74,7 @@
 	if err := request.Write(c.conn); err != nil {
 		return ServiceResponse{}, err
 	}
-	response, err := readLimitedResponse(c.conn, maxHeadBytes+framingFactor*limit, request)
+	response, err := readLimitedResponse(c.conn, framingFactor*limit+maxFramingBytes, request)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
