Bound the lines of an upstream's response head

An answer whose head has thousands of short lines, within the limit of 64 KiB, occupied 0.9 MB for as long as its body lasted: each line takes some 120 bytes as a field of its own. Fifty of them at once, in front of bodies that come slowly, took more than the quarter of a small VM's memory that floods may take together.

A head may now have 512 lines, beside the limit of its bytes. Lines that came with the last read are parsed too, so that those of a body behind the head are never counted.

--- a/relay/connection/channel.go
+++ b/relay/connection/channel.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -23,9 +24,10 @@
 	lastReceived *atomic.Int64
 	// used is set once the connection has carried a request.
 	used bool
-	// readingHead is set while response headers are read; headLeft is the number of bytes that may still be received for them.
-	readingHead bool
-	headLeft    int
+	// readingHead is set while response headers are read; headLeft is the number of bytes that may still be received for them, linesLeft
+	// that of the lines of the present one.
+	readingHead         bool
+	headLeft, linesLeft int
 }
 
 func newPooledConn(p *Pool, address netip.AddrPort, conn net.Conn, lastReceived *atomic.Int64) *pooledConn {
@@ -41,13 +43,20 @@
 // requests count as well. It bounds the memory that an upstream in trouble can occupy, and is above the headers of usual servers.
 const maxHeadBytes = 64 << 10
 
-// errHeadTooLarge ends an exchange whose response headers exceed maxHeadBytes.
-var errHeadTooLarge = fmt.Errorf("upstream sent more than %d bytes of response headers; check what answers at its address", maxHeadBytes)
+// maxHeadLines limits the lines received for the header of one response: a short line takes many times its length in memory. What has come
+// with the last of them, readBufferSize bytes at most, is parsed too.
+const maxHeadLines = 512
+
+// errHeadTooLarge ends an exchange whose response headers exceed maxHeadBytes or maxHeadLines.
+var errHeadTooLarge = fmt.Errorf("upstream sent more than %d bytes or %d lines of response headers; check what answers at its address", maxHeadBytes, maxHeadLines)
+
+// beginHead begins to count the lines of a response's header, of which a part may have come with the one before.
+func (c *pooledConn) beginHead() { c.readingHead, c.linesLeft = true, maxHeadLines }
 
 // Read reads from the connection and records the time of the last received byte.
 func (c *pooledConn) Read(into []byte) (int, error) {
 	if c.readingHead {
-		if c.headLeft <= 0 {
+		if c.headLeft <= 0 || c.linesLeft <= 0 {
 			return 0, errHeadTooLarge
 		}
 		into = into[:min(len(into), c.headLeft)]
@@ -55,6 +64,7 @@
 	n, err := c.conn.Read(into)
 	if c.readingHead {
 		c.headLeft -= n
+		c.linesLeft -= bytes.Count(into[:n], []byte{'\n'})
 	}
 	if n > 0 {
 		c.lastReceived.Store(c.pool.now().UnixNano())
--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -177,7 +177,7 @@
 	request := &http.Request{Method: r.Method}
 	resp.pooledConn.headLeft = maxHeadBytes
 	for foreign, interim := 0, 0; ; {
-		resp.pooledConn.readingHead = true
+		resp.pooledConn.beginHead()
 		response, err := http.ReadResponse(resp.pooledConn.reader, request)
 		resp.pooledConn.readingHead = false
 		switch {
--- a/relay/connection/flood_test.go
+++ b/relay/connection/flood_test.go
@@ -1,6 +1,7 @@
 package connection_test
 
 import (
+	"fmt"
 	"runtime"
 	"runtime/metrics"
 	"strings"
@@ -23,15 +24,25 @@
 // floods are the places of a response in which an upstream in trouble may send bytes without end: prefix is sent once and repeated
 // then until the relay closes the connection.
 var floods = map[string]struct{ prefix, repeated string }{
-	"in a header line":         {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Noise: ", strings.Repeat("x", 4096)},
-	"in header lines":          {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n", strings.Repeat("X-Noise: xxxxxxxxxxxxxxxxxxxxxx\r\n", 128)},
-	"in the status line":       {"HTTP/1.1 200 ", strings.Repeat("x", 4096)},
-	"in interim responses":     {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 128)},
-	"before any response":      {"", strings.Repeat("\x00\xff\x13", 1024)},
-	"in a chunk's size line":   {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 4096)},
-	"in a chunk's extension":   {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 4096)},
-	"in the trailers":          {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X-Noise: xxxxxxxxxxxxxxxxxxxxxx\r\n", 128)},
-	"in a response to another": {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4000000000\r\n\r\n", strings.Repeat("x", 4096)},
+	"in a header line":              {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Noise: ", strings.Repeat("x", 4096)},
+	"in header lines":               {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n", strings.Repeat("X-Noise: xxxxxxxxxxxxxxxxxxxxxx\r\n", 128)},
+	"in header lines of many names": {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n", manyNames(1 << 14)},
+	"in the status line":            {"HTTP/1.1 200 ", strings.Repeat("x", 4096)},
+	"in interim responses":          {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 128)},
+	"before any response":           {"", strings.Repeat("\x00\xff\x13", 1024)},
+	"in a chunk's size line":        {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 4096)},
+	"in a chunk's extension":        {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 4096)},
+	"in the trailers":               {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X-Noise: xxxxxxxxxxxxxxxxxxxxxx\r\n", 128)},
+	"in a response to another":      {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4000000000\r\n\r\n", strings.Repeat("x", 4096)},
+}
+
+// manyNames returns header lines that each have another name.
+func manyNames(count int) string {
+	var lines strings.Builder
+	for i := range count {
+		_, _ = fmt.Fprintf(&lines, "%x:\r\n", i)
+	}
+	return lines.String()
 }
 
 // pour sends the flood until the relay closes the connection.
@@ -101,6 +112,45 @@
 		})
 	}
 
+	// Guards against heads within the limit of bytes whose many short lines take many times as much memory, for as long as the bodies last.
+	It("keep the memory bounded when they come slowly behind many header lines", func() {
+		s := startUpstream(func(p *serverConn) {
+			p.readRequest()
+			p.writeText("HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + manyNames(7500) + "\r\n")
+			for err := error(nil); err == nil; _, err = p.Write([]byte("x")) {
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		growth := heapGrowth(func() {
+			results := make(chan error, floodRequests)
+			for range floodRequests {
+				go func() {
+					_, err := send(pool, s, newRequest("1", ""))
+					results <- err
+				}()
+			}
+			for range floodRequests {
+				var err error
+				Eventually(results).WithTimeout(10 * time.Second).Should(Receive(&err))
+				Expect(err).To(HaveOccurred())
+			}
+		})
+		Expect(growth).To(BeNumerically("<", maxFloodMemory))
+	})
+
+	It("don't count the lines of a body that comes with its head", func() {
+		s := startUpstream(func(p *serverConn) {
+			for p.readRequest() != nil {
+				p.respond("1", strings.Repeat("\n", 3000))
+			}
+		})
+		for range 3 {
+			received, err := send(pool, s, newRequest("1", ""))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(received).To(HaveLen(3000))
+		}
+	})
+
 	It("are named in the error with the limit, so that the log line tells the cause", func() {
 		s := startUpstream(func(p *serverConn) { pour(p, "HTTP/1.1 200 OK\r\n", "X-Noise: xxxxxxxxxxxxxxxxx\r\n") })
 		_, err := send(pool, s, newRequest("1", ""))
