Skip interim answers of plain services and to orders

A plain service that sends a 100 or 103 before its answer, or a proxy before it, had the interim answer taken for the answer by the standalone daemon: the caller got the status of the interim one and an empty body, and a booking recorded that as its result; an order counted as refused. net/http's ReadResponse, unlike its Transport, returns them. They are now skipped, eight at most and all within the limit of a head.

--- a/relay/upstream/flood_test.go
+++ b/relay/upstream/flood_test.go
@@ -83,12 +83,15 @@
 
 // floodHeads are floods before the end of a response's head.
 var floodHeads = map[string]floodText{
-	"before any response":    {"", strings.Repeat("\x00\xff\x13", 1024), 0},
-	"in the status line":     {"HTTP/1.1 200 ", strings.Repeat("x", 4096), 0},
-	"in a header line":       {floodHead + "X-Noise: ", strings.Repeat("x", 4096), 0},
-	"in header lines":        {floodHead, strings.Repeat("a:\r\n", 1024), 0},
-	"in slow header lines":   {floodHead, "a:\r\n", 20 * time.Millisecond},
-	"in an interim response": {"HTTP/1.1 103 Early Hints\r\n", strings.Repeat("a:\r\n", 1024), 0},
+	"before any response":         {"", strings.Repeat("\x00\xff\x13", 1024), 0},
+	"in the status line":          {"HTTP/1.1 200 ", strings.Repeat("x", 4096), 0},
+	"in a header line":            {floodHead + "X-Noise: ", strings.Repeat("x", 4096), 0},
+	"in header lines":             {floodHead, strings.Repeat("a:\r\n", 1024), 0},
+	"in slow header lines":        {floodHead, "a:\r\n", 20 * time.Millisecond},
+	"in interim responses":        {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 128), 0},
+	"in slow interim responses":   {"", "HTTP/1.1 102 Processing\r\n\r\n", 20 * time.Millisecond},
+	"in an interim response":      {"HTTP/1.1 103 Early Hints\r\n", strings.Repeat("a:\r\n", 1024), 0},
+	"in the head behind a signal": {"HTTP/1.1 100 Continue\r\n\r\n" + floodHead, strings.Repeat("a:\r\n", 1024), 0},
 }
 
 // floodBodies are floods in a response's body.
--- a/relay/upstream/limit.go
+++ b/relay/upstream/limit.go
@@ -3,13 +3,18 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
 
-// maxHeadBytes limits the headers of a response, so that an upstream in trouble can't occupy this VM's memory with a header that
-// never ends.
-const maxHeadBytes = 64 << 10
+const (
+	// maxHeadBytes limits the headers of a response, with those of the interim responses before it, so that an upstream in trouble can't
+	// occupy this VM's memory with a header that never ends.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses limits the interim (1xx) responses that are skipped before a response.
+	maxInterimResponses = 8
+)
 
 // ErrResponseTooLarge means that a response exceeds the limits of its header and body.
 var ErrResponseTooLarge = errors.New("upstream sent more bytes than a response may have; check what answers at its address")
@@ -31,14 +36,24 @@
 	return n, err
 }
 
-// readLimitedResponse reads the header of a response from a connection. The body may have limit bytes with its framing.
+// readLimitedResponse reads the header of a response from a connection, and skips interim responses before it. The body may have limit
+// bytes with its framing.
 func readLimitedResponse(from io.Reader, limit int64, request *http.Request) (*http.Response, error) {
 	limited := &limitedReader{from, maxHeadBytes}
-	response, err := http.ReadResponse(bufio.NewReader(limited), request)
-	if err != nil && limited.left <= 0 {
-		// The parser reports a malformed line instead if the limit cuts one.
-		return nil, ErrResponseTooLarge
+	reader := bufio.NewReader(limited)
+	for range maxInterimResponses + 1 {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil && limited.left <= 0 {
+			// The parser reports a malformed line instead if the limit cuts one.
+			return nil, ErrResponseTooLarge
+		}
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			limited.left = limit
+			return response, nil
+		}
 	}
-	limited.left = limit
-	return response, err
+	return nil, fmt.Errorf("upstream sent more than %d interim responses; check what answers at its address", maxInterimResponses)
 }
--- a/relay/upstream/limit_test.go
+++ b/relay/upstream/limit_test.go
@@ -75,3 +75,29 @@
 		Expect(err).To(MatchError(upstream.ErrResponseTooLarge))
 	})
 })
+
+// Guards against interim (1xx) responses that are taken for the answer, which makes an empty one look complete.
+var _ = Describe("a response behind interim ones", func() {
+	const text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	call := upstream.ServiceCall{Method: http.MethodPost, Path: "/book", Header: http.Header{}}
+	expectAnswer := func(response upstream.ServiceResponse, err error) {
+		GinkgoHelper()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Status).To(Equal(http.StatusOK))
+		Expect(string(response.Body)).To(Equal("ok"))
+	}
+
+	It("is the answer to a non-idempotent call", func() {
+		connection, err := upstream.New().Dial(context.Background(), pouring(text, "", time.Hour))
+		Expect(err).NotTo(HaveOccurred())
+		expectAnswer(connection.Call(context.Background(), call, 1024))
+	})
+
+	It("is the answer to an idempotent call", func() {
+		expectAnswer(upstream.New().CallIdempotent(context.Background(), pouring(text, "", time.Hour), call, 1024))
+	})
+
+	It("is the answer to an order", func() {
+		Expect(upstream.New().Order(context.Background(), pouring(text, "", time.Hour), load, time.Minute, permitted)).To(Succeed())
+	})
+})
