Bound the answers of plain services that the daemon holds together

Each idempotent call could hold an answer of limits.body (8 MiB by default) and its copies while it grew, so that a few replicas which send bodies without end occupied the memory of a small machine. All answers of upstreams now share 9 MiB, or more by limits.body and limits.memory, beyond 16 KiB each. They are read in parts, which are joined once the answer is complete, one answer at a time. An answer for which there is no room fails; the call goes on at another replica, and a booking is answered as one that may have run, as after any broken answer.

--- a/relay/app_callers.go
+++ b/relay/app_callers.go
@@ -58,7 +58,23 @@
 }
 
 func newClient(s settings.Settings) *upstream.Client {
-	return upstream.New(upstream.WithHeaderTimeout(s.Times.Headers), upstream.WithReadTimeout(s.Times.Gap))
+	return upstream.New(
+		upstream.WithHeaderTimeout(s.Times.Headers), upstream.WithReadTimeout(s.Times.Gap), upstream.WithMemory(answerMemory(s)),
+	)
+}
+
+const (
+	// minAnswerMemory is the least memory in bytes of the answers of all upstreams together, and answerMemoryDivisor the divisor of
+	// limits.memory for it.
+	minAnswerMemory     = 9 << 20
+	answerMemoryDivisor = 8
+	// answerMemoryMargin is for the parts of an answer that are not filled.
+	answerMemoryMargin = 1 << 20
+)
+
+// answerMemory returns the memory of the answers of all upstreams together, which has room for the largest answer of a service.
+func answerMemory(s settings.Settings) int64 {
+	return max(minAnswerMemory, s.Limits.Body+answerMemoryMargin, s.Limits.Memory/answerMemoryDivisor)
 }
 
 func newDispatcher(s settings.Settings, logger log.Interface) *dispatch.Dispatcher {
--- /dev/null
+++ b/relay/buffer/buffer_suite_test.go
@@ -0,0 +1,15 @@
+package buffer_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBuffer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	config, reporter := GinkgoConfiguration()
+	config.RandomSeed = 1
+	RunSpecs(t, "buffer", config, reporter)
+}
--- a/relay/gateway/booker.go
+++ b/relay/gateway/booker.go
@@ -314,6 +314,7 @@
 			return
 		}
 		recorded, err := json.Marshal(Answer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: answer.Body})
+		answer.Release()
 		if err != nil {
 			e.events <- booking.Event{Kind: booking.ExchangeFailed, Err: err}
 			return
--- a/relay/gateway/service.go
+++ b/relay/gateway/service.go
@@ -128,8 +128,10 @@
 		g.crashes.record(id, replica.Name, sentAt, err)
 		if err == nil && answer.Status != http.StatusBadGateway && answer.Status != http.StatusServiceUnavailable {
 			g.writeAnswer(w, info, Answer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: answer.Body})
+			answer.Release()
 			return
 		}
+		answer.Release()
 		lastErr = err
 	}
 	g.refuse(w, info, outcome.RefuseUncertain(outcome.UpstreamFailed, "no replica of the service answered; the call is idempotent, so it can be sent again").WithCause(lastErr))
--- a/relay/upstream/client.go
+++ b/relay/upstream/client.go
@@ -10,12 +10,16 @@
 	"sync"
 	"time"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 	"github.com/chicoryrelay/chicoryrelay/relay/pause"
 )
 
 // maxIdlePerUpstream limits the idle connections per upstream.
 const maxIdlePerUpstream = 64
 
+// defaultMemory is the default of WithMemory in bytes, with room for a service's answer of 8 MiB. Small VMs have about 100 MiB in all.
+const defaultMemory = 9 << 20
+
 // ErrTimeout is the cause of a call that was cancelled because nothing was received from the upstream within the timeout.
 var ErrTimeout = errors.New("timeout: nothing received from the upstream")
 
@@ -26,6 +30,9 @@
 	// dialTimeout limits a dial, and the whole fetch of a load report or of the platform's list.
 	dialTimeout time.Duration
 
+	// memory bounds what all answers hold together.
+	memory *buffer.Pool
+
 	// pauses are the upstreams that want nothing for a while, by address.
 	pauses *pause.Registry
 
@@ -48,11 +55,15 @@
 // defaults to 10 s.
 func WithReadTimeout(limit time.Duration) Option { return func(c *Client) { c.readTimeout = limit } }
 
+// WithMemory sets the number of bytes that the answers of all upstreams may hold together, beyond buffer.FreeBytes each; it defaults to
+// 9 MiB.
+func WithMemory(bytes int64) Option { return func(c *Client) { c.memory = buffer.NewPool(bytes) } }
+
 // New returns a Client without open connections.
 func New(options ...Option) *Client {
 	c := &Client{
 		headerTimeout: 30 * time.Second, readTimeout: 10 * time.Second, dialTimeout: 2 * time.Second,
-		pauses: pause.New(), transports: map[netip.AddrPort]*http.Transport{}, reportedLeaving: map[netip.AddrPort]bool{},
+		memory: buffer.NewPool(defaultMemory), pauses: pause.New(), transports: map[netip.AddrPort]*http.Transport{}, reportedLeaving: map[netip.AddrPort]bool{},
 	}
 	for _, option := range options {
 		option(c)
--- a/relay/upstream/limit_test.go
+++ b/relay/upstream/limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +21,8 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = l.Close() })
+	// A conversion for each connection would add to the heap that tests measure.
+	first, further := []byte(start), []byte(repeated)
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -33,12 +34,12 @@
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					return
 				}
-				_, err := io.WriteString(conn, start)
-				for text := []byte(repeated); err == nil; {
+				_, err := conn.Write(first)
+				for err == nil {
 					if pause > 0 {
 						time.Sleep(pause)
 					}
-					_, err = conn.Write(text)
+					_, err = conn.Write(further)
 				}
 			}()
 		}
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -3,13 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"io"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 )
 
 // ServiceCall is one request to a plain service.
@@ -21,11 +23,20 @@
 	Body   []byte
 }
 
-// ServiceResponse is a plain service's response.
+// ServiceResponse is a plain service's response, which holds memory until Release is called.
 type ServiceResponse struct {
 	Status int
 	Header http.Header
 	Body   []byte
+
+	memory *buffer.Reservation
+}
+
+// Release returns the memory of the body, which must not be used afterwards, to the Client.
+func (r ServiceResponse) Release() {
+	if r.memory != nil {
+		r.memory.Release()
+	}
 }
 
 // Connection is a newly dialled connection for a single call. A pooled connection could be broken without notice.
@@ -104,15 +115,16 @@
 func (c *Client) readResponse(address netip.AddrPort, response *http.Response, limit int64) (ServiceResponse, error) {
 	defer func() { _ = response.Body.Close() }()
 	c.observe(address, response)
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	memory := c.memory.Reserve()
+	body, err := memory.ReadAll(response.Body, limit)
+	if errors.Is(err, buffer.ErrTooLarge) {
+		return ServiceResponse{}, oops.With("limit", limit).Hint("raise limits.answer").Wrapf(err, "service response exceeds limits.answer")
+	}
 	if err != nil {
 		return ServiceResponse{}, err
 	}
-	if int64(len(body)) > limit {
-		return ServiceResponse{}, oops.With("limit", limit).Hint("raise limits.answer").Errorf("service response exceeds limits.answer")
-	}
 	if isLeavingRefusal(response.StatusCode, body) {
 		c.setLeaving(address, true)
 	}
-	return ServiceResponse{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return ServiceResponse{Status: response.StatusCode, Header: response.Header, Body: body, memory: memory}, nil
 }
