Bound the load reports that the daemon reads at once

The daemon asks all upstreams for their load reports at once, and each could hold 1 MiB and its copies; bytes behind the report's JSON were ignored, so that a report without end looked complete. A report is now limited to 64 KiB and shares the memory of upstreams' answers, the platform's list keeps its 1 MiB, and both are read to their end.

--- a/relay/upstream/flood_test.go
+++ b/relay/upstream/flood_test.go
@@ -122,7 +122,7 @@
 }
 
 // floodBodyPaths are the ways on which the bodies of answers are flooded.
-var floodBodyPaths = []string{"an order", "an idempotent call", "a booking"}
+var floodBodyPaths = []string{"an order", "an idempotent call", "a booking", "a load report", "the platform's list"}
 
 // liveHeap returns the bytes of the heap that are in use, without what has become garbage since the collection.
 func liveHeap() int64 {
@@ -134,14 +134,14 @@
 
 // flood runs the calls at once and returns their errors, the growth of the live heap and the time until the last has ended. Calls that
 // exceed the bounds are cancelled, so that a failing test doesn't exhaust the machine.
-func flood(call func(context.Context) error) (errs []error, growth int64, took time.Duration) {
+func flood(calls int, call func(context.Context) error) (errs []error, growth int64, took time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*maxFloodTime)
 	defer cancel()
-	before, started, results := liveHeap(), time.Now(), make(chan error, floodCalls)
-	for range floodCalls {
+	before, started, results := liveHeap(), time.Now(), make(chan error, calls)
+	for range calls {
 		go func() { results <- call(ctx) }()
 	}
-	for len(errs) < floodCalls {
+	for len(errs) < calls {
 		select {
 		case err := <-results:
 			errs = append(errs, err)
@@ -162,7 +162,12 @@
 			address := pouring(text.prefix, text.repeated, text.pause)
 			client := upstream.New(upstream.WithHeaderTimeout(time.Second), upstream.WithReadTimeout(time.Second))
 			DeferCleanup(client.Close)
-			errs, growth, took := flood(func(ctx context.Context) error { return floodPaths[path](ctx, client, address) })
+			calls := floodCalls
+			if path == "the platform's list" {
+				// One poller reads it.
+				calls = 1
+			}
+			errs, growth, took := flood(calls, func(ctx context.Context) error { return floodPaths[path](ctx, client, address) })
 			if path != "an order" || !strings.HasPrefix(text.prefix, floodHead) || !strings.Contains(text.prefix, "\r\n\r\n") {
 				// An order's answer is its status alone.
 				Expect(errs).To(HaveEach(HaveOccurred()))
--- a/relay/upstream/load.go
+++ b/relay/upstream/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -11,8 +10,11 @@
 	"github.com/samber/oops"
 )
 
-// maxReportBytes limits the size of a load report or of the platform's list.
-const maxReportBytes = 1 << 20
+// maxReportBytes and maxListBytes limit the size of a load report and of the platform's list.
+const (
+	maxReportBytes = 64 << 10
+	maxListBytes   = 1 << 20
+)
 
 // LeavingState is the state in the platform's list of a VM that will be shut down.
 const LeavingState = "leaving"
@@ -51,7 +53,7 @@
 	if err := c.permit(address); err != nil {
 		return load, err
 	}
-	header, err := c.get(ctx, address, "/load", &load)
+	header, err := c.get(ctx, address, "/load", maxReportBytes, &load)
 	if err == nil {
 		load.Leaving = load.Leaving || header.Get(leavingHeader) == "1"
 		c.setLeaving(address, load.Leaving)
@@ -62,7 +64,7 @@
 // List fetches the platform's list of live and leaving VMs and records which are leaving.
 func (c *Client) List(ctx context.Context, address netip.AddrPort) ([]Member, error) {
 	var members []Member
-	if _, err := c.get(ctx, address, "/list", &members); err != nil {
+	if _, err := c.get(ctx, address, "/list", maxListBytes, &members); err != nil {
 		return nil, err
 	}
 	leaving := map[netip.AddrPort]bool{}
@@ -75,8 +77,8 @@
 	return members, nil
 }
 
-// get reads a JSON document and returns the header of its response.
-func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, into any) (http.Header, error) {
+// get reads a JSON document of at most limit bytes and returns the header of its response.
+func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, limit int64, into any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
@@ -96,7 +98,13 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, oops.With("address", address).Errorf("read %s: status %d", path, response.StatusCode)
 	}
-	return response.Header, json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(into)
+	memory := c.memory.Reserve()
+	defer memory.Release()
+	body, err := memory.ReadAll(response.Body, limit)
+	if err != nil {
+		return nil, oops.With("address", address).Wrapf(err, "read %s", path)
+	}
+	return response.Header, json.Unmarshal(body, into)
 }
 
 // Poll calls read immediately and then at each interval until the context is done.
