Bound the KV caches that the daemon transfers at once

A transfer held up to 64 MiB of an engine's export and its copies, as much again of the answer to the import and of refusals, each for itself: one engine in trouble exhausted a small machine. Exports now share the memory of upstreams' answers, a larger one is computed anew by the importing engine as after any failed transfer, and 4 KiB of the other answers are read.

--- a/relay/upstream/flood_test.go
+++ b/relay/upstream/flood_test.go
@@ -122,7 +122,7 @@
 }
 
 // floodBodyPaths are the ways on which the bodies of answers are flooded.
-var floodBodyPaths = []string{"an order", "an idempotent call", "a booking", "a load report", "the platform's list"}
+var floodBodyPaths = []string{"an order", "an idempotent call", "a booking", "a load report", "the platform's list", "a KV cache transfer"}
 
 // liveHeap returns the bytes of the heap that are in use, without what has become garbage since the collection.
 func liveHeap() int64 {
--- a/relay/upstream/transfer.go
+++ b/relay/upstream/transfer.go
@@ -11,11 +11,12 @@
 
 	"github.com/samber/oops"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 )
 
 const (
-	// maxBundleBytes limits the size of an exported KV cache.
+	// maxBundleBytes limits the size of an exported KV cache, which must also fit into the memory of upstreams' answers.
 	maxBundleBytes = 64 << 20
 	exportPath     = "/kv/export"
 	importPath     = "/kv/import"
@@ -44,14 +45,16 @@
 	if err != nil {
 		return err
 	}
-	bundle, err := c.post(ctx, from.Address, exportPath, exportBody)
+	memory := c.memory.Reserve()
+	defer memory.Release()
+	bundle, err := c.post(ctx, from.Address, exportPath, exportBody, memory, maxBundleBytes)
 	if err != nil {
 		return oops.With("from", from.Name).Wrapf(err, "export KV cache")
 	}
 	if err := checkBinding(bundle, from, to, incarnation, salt); err != nil {
 		return err
 	}
-	_, err = c.post(ctx, to.Address, importPath, bundle)
+	_, err = c.post(ctx, to.Address, importPath, bundle, memory, maxErrorBytes)
 	return oops.With("to", to.Name).Wrapf(err, "import KV cache")
 }
 
@@ -72,7 +75,8 @@
 	return nil
 }
 
-func (c *Client) post(ctx context.Context, address netip.AddrPort, path string, body []byte) ([]byte, error) {
+// post sends a body and returns the answer's, of at most limit bytes, or a RefusedError with the start of the answer.
+func (c *Client) post(ctx context.Context, address netip.AddrPort, path string, body []byte, memory *buffer.Reservation, limit int64) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -87,12 +91,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	c.observe(address, response)
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxBundleBytes))
-	if err != nil {
-		return nil, err
-	}
 	if response.StatusCode != http.StatusOK {
-		return nil, &RefusedError{Status: response.StatusCode, Body: string(responseBody[:min(len(responseBody), maxErrorBytes)])}
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+		return nil, &RefusedError{Status: response.StatusCode, Body: string(text)}
 	}
-	return responseBody, nil
+	return memory.ReadAll(response.Body, limit)
 }
