Bound the events of engines that the daemon reads

The daemon limited a line of a stream to 1 MiB but not the lines of one event: an engine that sends data lines without a blank one had all of them kept until the stream's timeout. Many long lines at once were not bounded either.

--- a/relay/upstream/events.go
+++ b/relay/upstream/events.go
@@ -3,15 +3,22 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
+	"fmt"
 	"io"
 	"strconv"
 
 	"github.com/tidwall/gjson"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 )
 
-// maxLineBytes limits one line of an event stream.
+// maxLineBytes limits one line of an event stream, and the data of one event.
 const maxLineBytes = 1 << 20
 
+// errEventTooLarge ends a stream with an event that exceeds maxLineBytes.
+var errEventTooLarge = fmt.Errorf("the engine sent an event larger than %d bytes; make it send smaller events", maxLineBytes)
+
 // EventKind is the type of an event in an engine's stream.
 type EventKind uint8
 
@@ -49,24 +56,71 @@
 // eventReader reads server-sent events. If an engine sends no sequence numbers, it numbers the events itself and takes the
 // request's ID from the data.
 type eventReader struct {
-	lines *bufio.Scanner
-	next  uint64
-	data  []byte
+	body *bufio.Reader
+	next uint64
+	// line has the present line if it exceeds the buffer of body; memory is that of line and data.
+	line, data []byte
+	memory     *buffer.Reservation
 }
 
+// newEventReader reads events whose memory has no limit but that of one event.
 func newEventReader(body io.Reader, from uint64) *eventReader {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	return &eventReader{lines: lines, next: from}
+	return newBoundedEventReader(body, from, (*buffer.Pool)(nil).Reserve())
+}
+
+func newBoundedEventReader(body io.Reader, from uint64, memory *buffer.Reservation) *eventReader {
+	return &eventReader{body: bufio.NewReader(body), next: from, memory: memory}
+}
+
+// readLine returns the next line without its end, which is valid until the next call; without a line feed at its end it comes with an
+// error.
+func (r *eventReader) readLine() ([]byte, error) {
+	r.line = r.line[:0]
+	for {
+		part, err := r.body.ReadSlice('\n')
+		if err == nil && len(r.line) == 0 {
+			return bytes.TrimRight(part, "\r\n"), nil
+		}
+		var full error
+		if r.line, full = r.append(r.line, part); full != nil {
+			return nil, full
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return bytes.TrimRight(r.line, "\r\n"), err
+		}
+	}
+}
+
+// append appends a part to the line or the data.
+func (r *eventReader) append(to, part []byte) ([]byte, error) {
+	if len(to)+len(part) > maxLineBytes {
+		return to, errEventTooLarge
+	}
+	return r.memory.Append(to, part)
+}
+
+// release returns the memory of a long event.
+func (r *eventReader) release() {
+	if cap(r.line)+cap(r.data) > buffer.FreeBytes {
+		r.line, r.data = nil, nil
+		r.memory.Release()
+	}
 }
 
 // Next returns the next event. io.ErrUnexpectedEOF means that the body ended, which is premature unless Done was returned before.
 func (r *eventReader) Next() (Event, error) {
 	var event Event
 	numbered, failed := false, false
+	r.release()
 	r.data = r.data[:0]
-	for r.lines.Scan() {
-		line := r.lines.Bytes()
+	for {
+		line, err := r.readLine()
+		if errors.Is(err, io.EOF) {
+			return event, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return event, err
+		}
 		switch {
 		case len(line) == 0:
 			if len(r.data) > 0 {
@@ -77,13 +131,11 @@
 		case bytes.HasPrefix(line, []byte("event:")):
 			failed = string(bytes.TrimSpace(line[6:])) == "error"
 		case bytes.HasPrefix(line, []byte("data:")):
-			r.data = append(r.data, bytes.TrimPrefix(line[5:], []byte(" "))...)
+			if r.data, err = r.append(r.data, bytes.TrimPrefix(line[5:], []byte(" "))); err != nil {
+				return event, err
+			}
 		}
 	}
-	if err := r.lines.Err(); err != nil {
-		return event, err
-	}
-	return event, io.ErrUnexpectedEOF
 }
 
 func (r *eventReader) classify(event Event, numbered, failed bool) Event {
--- a/relay/upstream/flood_test.go
+++ b/relay/upstream/flood_test.go
@@ -121,8 +121,19 @@
 	"in a body that slows down":  {floodHead + "\r\n" + strings.Repeat("x", 1_000_000), "x", 20 * time.Millisecond},
 }
 
+// floodEvents are floods in a stream.
+var floodEvents = map[string]floodText{
+	"in an event's line":              {floodHead + "\r\ndata: ", strings.Repeat("x", 4096), 0},
+	"in an event's lines":             {floodHead + "\r\n", strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 8), 0},
+	"in a line that slows down":       {floodHead + "\r\ndata: " + strings.Repeat("x", 1_000_000), "x", 20 * time.Millisecond},
+	"in lines of one that slows down": {floodHead + "\r\n" + strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 1000), "data: x\n", 20 * time.Millisecond},
+	"in a line of another field":      {floodHead + "\r\nid: ", strings.Repeat("x", 4096), 0},
+	"in comments":                     {floodHead + "\r\n", strings.Repeat(": x\n\n", 512), 0},
+	"in slow comments":                {floodHead + "\r\n", ": x\n\n", 20 * time.Millisecond},
+}
+
 // floodBodyPaths are the ways on which the bodies of answers are flooded.
-var floodBodyPaths = []string{"an order", "an idempotent call", "a booking", "a load report", "the platform's list", "a KV cache transfer"}
+var floodBodyPaths = []string{"an order", "an idempotent call", "a booking", "a load report", "the platform's list", "a KV cache transfer", "a text request"}
 
 // liveHeap returns the bytes of the heap that are in use, without what has become garbage since the collection.
 func liveHeap() int64 {
@@ -185,6 +196,9 @@
 			test(path, place, text)
 		}
 	}
+	for place, text := range floodEvents {
+		test("a text request", place, text)
+	}
 	for _, path := range floodBodyPaths {
 		for place, text := range floodBodies {
 			test(path, place, text)
--- a/relay/upstream/stream.go
+++ b/relay/upstream/stream.go
@@ -86,7 +86,7 @@
 	return &Stream{
 		Incarnation: incarnation,
 		client:      c, call: call, body: response.Body, ctx: ctx, watchdog: watch,
-		events: newEventReader(response.Body, call.From),
+		events: newBoundedEventReader(response.Body, call.From, c.memory.Reserve()),
 	}, nil
 }
 
@@ -163,4 +163,5 @@
 func (s *Stream) Close() {
 	s.watchdog.stop()
 	_ = s.body.Close()
+	s.events.memory.Release()
 }
