Let only events that advance a stream prolong its timeout

Each event restarted the daemon's timeout between events, also one of another request, one sent again, one without text, or one behind the finish reason. An engine in trouble that sends such events kept a request, and the connection and slot behind it, until its caller left. Only the next events of the request's own text restart it now.

The new tests failed before: 50 streams with a timeout of 1 s had not ended after 8 s, when they were stopped, with events of another request, events sent again and events without text, fast and slow.

--- a/relay/upstream/flood_test.go
+++ b/relay/upstream/flood_test.go
@@ -121,6 +121,15 @@
 	"in a body that slows down":  {floodHead + "\r\n" + strings.Repeat("x", 1_000_000), "x", 20 * time.Millisecond},
 }
 
+// finishedEvents is the text of a complete answer followed by further events.
+var finishedEvents = func() string {
+	var events strings.Builder
+	for i := range 1 << 10 {
+		_, _ = fmt.Fprintf(&events, "id: r:%d\ndata: {\"choices\":[{\"text\":\"x\",\"finish_reason\":\"stop\"}]}\n\n", i)
+	}
+	return events.String()
+}()
+
 // floodEvents are floods in a stream.
 var floodEvents = map[string]floodText{
 	"in an event's line":              {floodHead + "\r\ndata: ", strings.Repeat("x", 4096), 0},
@@ -129,6 +138,11 @@
 	"in lines of one that slows down": {floodHead + "\r\n" + strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 1000), "data: x\n", 20 * time.Millisecond},
 	"in a line of another field":      {floodHead + "\r\nid: ", strings.Repeat("x", 4096), 0},
 	"in comments":                     {floodHead + "\r\n", strings.Repeat(": x\n\n", 512), 0},
+	"in events of no progress":        {floodHead + "\r\n", strings.Repeat("data: {}\n\n", 512), 0},
+	"in events sent again":            {floodHead + "\r\n", strings.Repeat("id: r:0\ndata: {\"choices\":[{\"text\":\"x\"}]}\n\n", 128), 0},
+	"in events of another":            {floodHead + "\r\n", strings.Repeat("data: {\"id\":\"other\",\"choices\":[{\"text\":\"x\"}]}\n\n", 128), 0},
+	"in events behind the end":        {floodHead + "\r\n", finishedEvents, 0},
+	"in slow events of others":        {floodHead + "\r\n", "id: other:0\ndata: {\"choices\":[{\"text\":\"x\"}]}\n\n", 20 * time.Millisecond},
 	"in slow comments":                {floodHead + "\r\n", ": x\n\n", 20 * time.Millisecond},
 }
 
--- a/relay/upstream/stream.go
+++ b/relay/upstream/stream.go
@@ -54,6 +54,9 @@
 	events   *eventReader
 	watchdog *watchdog
 	ctx      context.Context
+	// next is the least sequence number of an event that advances the stream; finished is set once its text is complete.
+	next     uint64
+	finished bool
 }
 
 // Open sends the call and returns when the response's header has arrived. The error is a RefusedError, ErrTimeout, the context's
@@ -149,10 +152,22 @@
 	if err != nil {
 		return event, s.client.cause(s.ctx, s.call, err)
 	}
-	s.watchdog.reset(s.client.readTimeout)
+	if s.advances(event) {
+		s.watchdog.reset(s.client.readTimeout)
+	}
 	return event, nil
 }
 
+// advances reports whether an event carries a part of the request's text that has not come before. Others, which an engine in trouble may
+// send without end, don't prolong the timeout.
+func (s *Stream) advances(event Event) bool {
+	if event.Kind != Token || event.Request != s.call.Request || event.Sequence < s.next || s.finished {
+		return false
+	}
+	s.next, s.finished = event.Sequence+1, event.Finish
+	return true
+}
+
 // PauseTimeout stops the timeout while the caller, not the engine, causes the delay.
 func (s *Stream) PauseTimeout() { s.watchdog.timer.Stop() }
 
