Bound the answers to a VM's own calls that it holds together

Load reports, orders, cache events, questions to silent engines and pages of the platform's list are read by many calls at once. Each could hold 4 MiB and its copies, so that some engines that send bytes without end exhausted a small VM. The answers now share 8 MiB beyond 16 KiB each; one without room fails like one that broke off, and is asked for again.

--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/directory"
@@ -29,6 +29,8 @@
 	listPageTimeout = time.Second
 	// maxResponseBytes limits the response to a call that the VM makes for itself, rather than for a caller.
 	maxResponseBytes = 4 << 20
+	// maxOwnBytes limits the responses to all such calls together, beyond buffer.FreeBytes each.
+	maxOwnBytes = 8 << 20
 	// digestInterval is the interval at which VMs with callers exchange digests of their load.
 	digestInterval = 150 * time.Millisecond
 	// peersPerDigestInterval is the number of peers in the cell per which the time between two digests grows by one digestInterval.
@@ -143,7 +145,11 @@
 	}
 }
 
-// call makes a call for the VM itself and reads the whole response.
+// ownResponses has the memory of the responses to the calls that the process makes for itself.
+var ownResponses = buffer.NewPool(maxOwnBytes)
+
+// call makes a call for the VM itself and reads the whole response, which is charged to ownResponses while it is read: one without end is
+// never returned.
 func call(ctx context.Context, pool *connection.Pool, address netip.AddrPort, r *connection.Request, limit time.Duration) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -152,12 +158,11 @@
 		return 0, nil, err
 	}
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes))
+	memory := ownResponses.Reserve()
+	defer memory.Release()
+	body, err := memory.ReadAll(response, maxResponseBytes)
 	if err != nil {
-		return 0, nil, err
-	}
-	if len(body) == maxResponseBytes {
-		return 0, nil, fmt.Errorf("the response of %s exceeds the limit of %d bytes", address, maxResponseBytes)
+		return 0, nil, fmt.Errorf("response of %s: %w", address, err)
 	}
 	return response.Status, body, nil
 }
