End the reading of a platform's list whose pages don't end

A list whose pages each named a next one was read without end: the VM kept all replicas that it had read, and never had a list again.

The new tests failed before: the readings went on until the test stopped them after 10 s, with replicas and with empty pages.

--- a/relay/vm/flood_test.go
+++ b/relay/vm/flood_test.go
@@ -15,6 +15,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
+	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
 
 // floodCalls is the number of calls whose receivers send bytes without end at once; maxFloodMemory is the growth of the live heap in bytes
@@ -107,3 +109,25 @@
 		})
 	}
 })
+
+// Guards against a list whose pages each name a next one, which would be read, and kept, until the memory is used up.
+var _ = Describe("a platform's list without end", func() {
+	for name, listed := range map[string]int{"with replicas": 100, "of empty pages": 0} {
+		It(name+" ends its reading", func() {
+			pool, ctx := connection.NewPool(), context.Background()
+			DeferCleanup(pool.Close)
+			ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+			defer cancel()
+			w := &watcher{pool: pool, settings: settings.Settings{Platform: newQuietEngine().address}, state: &state{adapter: Adapter{List: ListCodec{
+				Request: func(string) *connection.Request {
+					return &connection.Request{Method: http.MethodGet, Target: "/replicas", Host: "platform", Header: http.Header{}}
+				},
+				Decode: func(int, []byte) ([]directory.Upstream, string, error) {
+					return make([]directory.Upstream, listed), "2", nil
+				},
+			}}}}
+			Expect(w.readPages(ctx)).To(MatchError(ContainSubstring("does not end")))
+			Expect(len(w.partialList.upstreams)).To(BeNumerically("<=", maxListed+listed))
+		})
+	}
+})
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -27,6 +27,9 @@
 	maxListAge = 2500 * time.Millisecond
 	// listPageTimeout limits the request of one page.
 	listPageTimeout = time.Second
+	// maxListed and maxListPages limit the upstreams and pages of one reading of the list, whose pages could name a next one without end.
+	maxListed    = 20_000
+	maxListPages = 1_000
 	// maxResponseBytes limits the response to a call that the VM makes for itself, rather than for a caller.
 	maxResponseBytes = 4 << 20
 	// maxOwnBytes limits the responses to all such calls together, beyond buffer.FreeBytes each.
@@ -129,8 +132,10 @@
 
 // readPages reads the pages that are still missing.
 func (w *watcher) readPages(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, maxPartialAge)
+	defer cancel()
 	codec := w.state.adapter.List
-	for {
+	for range maxListPages {
 		status, body, err := call(ctx, w.pool, w.settings.Platform, codec.Request(w.partialList.nextPage), listPageTimeout)
 		if err != nil {
 			return err
@@ -142,7 +147,11 @@
 		if w.partialList.add(upstreams, next) {
 			return nil
 		}
+		if len(w.partialList.upstreams) > maxListed {
+			break
+		}
 	}
+	return fmt.Errorf("the platform's list does not end within %d upstreams and %d pages; check what answers at the setting platform", maxListed, maxListPages)
 }
 
 // ownResponses has the memory of the responses to the calls that the process makes for itself.
