Bound the text that the daemon collects for one JSON answer

An engine that sends tokens without end had all of them kept for a caller who doesn't stream, for as long as the caller waited. Such an answer may now have 1 MiB of text, and shares the memory of upstreams' answers; beyond that the request ends with an error, since no other engine could continue it.

--- a/relay/gateway/answer_writer.go
+++ b/relay/gateway/answer_writer.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/prompt"
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
@@ -26,16 +26,25 @@
 	streaming    bool
 	includeUsage bool
 
-	started      bool
-	buffer       []byte
-	text         strings.Builder
+	started bool
+	buffer  []byte
+	// text is that of an answer which is sent as one JSON object, memory its share of the memory of upstreams' answers.
+	text         []byte
+	memory       *buffer.Reservation
 	finishReason string
 	model        string
 	usageJSON    json.RawMessage
 }
 
-func newAnswerWriter(w http.ResponseWriter, kind prompt.Kind, parsed prompt.Request, request string, writeTimeout time.Duration) *answerWriter {
+// maxTextBytes limits the text of an answer that is sent as one JSON object, which is held until it is complete.
+const maxTextBytes = 1 << 20
+
+// errTextTooLarge ends such an answer. No other engine could continue it.
+var errTextTooLarge = fmt.Errorf("the engine's answer is longer than the %d bytes of an answer that isn't streamed; request a stream", maxTextBytes)
+
+func newAnswerWriter(w http.ResponseWriter, kind prompt.Kind, parsed prompt.Request, request string, writeTimeout time.Duration, memory *buffer.Reservation) *answerWriter {
 	return &answerWriter{
+		memory: memory,
 		writer: w, controller: http.NewResponseController(w), request: request, writeTimeout: writeTimeout,
 		kind: kind, streaming: parsed.Stream, includeUsage: parsed.IncludeUsage, model: parsed.Model,
 	}
@@ -44,8 +53,7 @@
 // forwardToken writes one event; an error wraps errCaller.
 func (a *answerWriter) forwardToken(event upstream.Event) error {
 	if !a.streaming {
-		a.collect(event.Data)
-		return nil
+		return a.collect(event.Data)
 	}
 	a.beginStream()
 	a.buffer = append(a.buffer[:0], "id: "...)
@@ -84,16 +92,24 @@
 	return nil
 }
 
-func (a *answerWriter) collect(data []byte) {
+// collect adds an event's text; the error is errTextTooLarge or buffer.ErrFull.
+func (a *answerWriter) collect(data []byte) error {
 	choice := gjson.GetBytes(data, "choices.0")
+	field := "text"
 	if a.kind == prompt.Chat {
-		a.text.WriteString(choice.Get("delta.content").String())
-	} else {
-		a.text.WriteString(choice.Get("text").String())
+		field = "delta.content"
+	}
+	text, err := choice.Get(field).String(), error(nil)
+	if len(a.text)+len(text) > maxTextBytes {
+		return errTextTooLarge
+	}
+	if a.text, err = a.memory.Append(a.text, []byte(text)); err != nil {
+		return err
 	}
 	if finishReason := choice.Get("finish_reason"); finishReason.Type == gjson.String {
 		a.finishReason = finishReason.String()
 	}
+	return nil
 }
 
 // writeUsage records the token counts and, if a streaming caller asked for them, sends them as an event.
@@ -155,7 +171,7 @@
 }
 
 func (a *answerWriter) assemble() completeAnswer {
-	text := a.text.String()
+	text := string(a.text)
 	choice := completeChoice{Reason: a.finishReason}
 	object := "chat.completion"
 	if a.kind == prompt.Chat {
--- a/relay/gateway/fake_test.go
+++ b/relay/gateway/fake_test.go
@@ -65,6 +65,10 @@
 		event(w, r.Header.Get("X-Request-Id"), 0, answerTokens)
 		panic(http.ErrAbortHandler)
 	}
+	if strings.Contains(string(body), endlessPrompt) {
+		e.answerEndlessly(w, r)
+		return
+	}
 	if tornAt >= 0 {
 		e.answerTorn(w, r, tornAt)
 		return
@@ -72,6 +76,19 @@
 	e.answer(w, r)
 }
 
+// endlessPrompt is a text; the answer to a request that contains it never ends.
+const endlessPrompt = "without end"
+
+// answerEndlessly sends numbered tokens until the connection is closed.
+func (e *fakeEngine) answerEndlessly(w http.ResponseWriter, r *http.Request) {
+	content := strings.Repeat("x", 4096)
+	for i := 0; ; i++ {
+		if _, err := fmt.Fprintf(w, "id: %s:%d\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s\"}}]}\n\n", r.Header.Get("X-Request-Id"), i, content); err != nil {
+			return
+		}
+	}
+}
+
 // answerTorn sends the first bytes of an answer without a length or chunks and closes the connection.
 func (e *fakeEngine) answerTorn(w http.ResponseWriter, r *http.Request, bytes int) {
 	whole := httptest.NewRecorder()
--- a/relay/gateway/session.go
+++ b/relay/gateway/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
@@ -57,6 +58,7 @@
 func (s *session) run(ctx context.Context) {
 	s.gateway.progress.add(Progress{Request: s.requestInfo.id, Account: s.requestInfo.account.Name, Assistant: s.assistant.Name}, s.requestInfo.arrived)
 	defer s.gateway.progress.remove(s.requestInfo.id)
+	defer s.answerWriter.memory.Release()
 	err := s.relay(ctx)
 	s.record.Stream = s.core.Counts()
 	s.record.Deadline, s.record.ExpectedTokens = s.dispatchRequest.Deadline, s.dispatchRequest.AnswerTokens
@@ -93,6 +95,9 @@
 			"request": s.requestInfo.id, "upstream": ticket.Upstream.Name, "delivered": s.core.Next(), "cause": err.Error(),
 		}).Info("attempt failed")
 		lastErr = err
+		if errors.Is(err, errTextTooLarge) || errors.Is(err, buffer.ErrFull) && !s.parsed.Stream {
+			break
+		}
 		s.pinVersion()
 		s.dispatchRequest.FailedUpstreams = append(s.dispatchRequest.FailedUpstreams, ticket.Upstream.Name)
 		// A stream that has begun is resumed outside the retry budget, since its caller can't be given another answer.
