Show that a second attempt reads the stream that the first one advances

What callers see: nothing so far; the second attempt is cancelled by then.

Change: in the drawn requests through a gateway second attempts begin after 2 ms, and some upstreams answer late, so that both attempts of a request are sent.

--- a/relay/gateway/unchanged_test.go
+++ b/relay/gateway/unchanged_test.go
@@ -220,7 +220,7 @@
 func drawConducts(random *rand.Rand) []conduct {
 	var list []conduct
 	for range random.IntN(4) {
-		list = append(list, []conduct{closes, cuts, declines, declinesEarly}[random.IntN(4)])
+		list = append(list, []conduct{closes, cuts, declines, declinesEarly, completesLate}[random.IntN(5)])
 	}
 	for range random.IntN(4) {
 		list = append(list, []conduct{fails, breaks, completes, completesEarly, completesLate, declinesEarly}[random.IntN(6)])
@@ -294,7 +294,7 @@
 		kind, member, path = prompt.Completion, fmt.Sprintf(`"prompt":"%s %s"`, q.tag, hex.EncodeToString(text)), "/v1/completions"
 	}
 	stream := random.IntN(2) == 0
-	q.body = fmt.Appendf(nil, " {\"user\":%q,\n\"model\":\"recipes\", \"stream\":%v,\"temperature\":1.50e0,%s}\n", q.tag, stream, member)
+	q.body = fmt.Appendf(nil, " {\"user\":%q,\n\"model\":\"recipes\", \"stream\":%v,\"temperature\":1.50e0,\"max_tokens\":%d,%s}\n", q.tag, stream, answerTokens, member)
 	q.method, q.path = http.MethodPost, path+[]string{"", "?"}[random.IntN(2)]
 	if stream && random.IntN(4) == 0 {
 		q.header = fmt.Sprintf("Last-Event-ID: req9:1:%d\r\n", random.IntN(answerTokens))
@@ -404,6 +404,14 @@
 	d.Run()
 	DeferCleanup(d.Stop)
 	d.Configure(objects)
+	acquire := func(ctx context.Context, r dispatch.Request) (*dispatch.Ticket, error) {
+		ticket, err := d.Acquire(ctx, r)
+		if ticket != nil {
+			// A second attempt begins before a late answer.
+			ticket.HedgeDelay = 2 * time.Millisecond
+		}
+		return ticket, err
+	}
 	configuration := func() gateway.Configuration { return gateway.Configuration{Catalogue: objects, Leased: true} }
 	client, quiet := upstream.New(), &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	var ids, attempts, index atomic.Uint64
@@ -426,7 +434,7 @@
 		gateway.WithBookerLog(quiet),
 	)
 	server = httptest.NewServer(gateway.New(
-		gateway.WithConfiguration(configuration), gateway.WithAcquire(d.Acquire), gateway.WithBook(booker.Book), gateway.WithClient(client),
+		gateway.WithConfiguration(configuration), gateway.WithAcquire(acquire), gateway.WithBook(booker.Book), gateway.WithClient(client),
 		gateway.WithIDs(func() string { return fmt.Sprint("req", ids.Add(1)) }), gateway.WithLog(quiet), gateway.WithMaxBodyBytes(maxUnchangedBody),
 	).Handler())
 	stop = sync.OnceFunc(func() {
