Send a target that begins with two slashes to its service as a path

Cause: a target of a call that begins with two slashes was taken for a host by the encoder; no caller can send one at present.

Change: such a target is written in its absolute form, with the service's host.

--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/samber/oops"
@@ -17,7 +18,7 @@
 // ServiceCall is one request to a plain service.
 type ServiceCall struct {
 	Method string
-	// Path is the path and query of the request as its caller wrote them; it begins with a single slash.
+	// Path is the path and query of the request as its caller wrote them.
 	Path   string
 	Header http.Header
 	Body   []byte
@@ -78,8 +79,10 @@
 	if err != nil {
 		return ServiceResponse{}, err
 	}
-	// A parsed path and query could be written in another way than the caller's.
-	request.URL.Opaque = call.Path
+	// A parsed path and query could be written in another way than the caller's. One that begins with two slashes needs the host before it.
+	if request.URL.Opaque = call.Path; strings.HasPrefix(call.Path, "//") {
+		request.URL.Opaque = "//" + request.URL.Host + call.Path
+	}
 	request.Header = call.Header
 	request.Close = true
 	if err := request.Write(c.conn); err != nil {
