Read the position in a stream before its second attempt can begin

What callers saw: nothing known. A second attempt that starts as the first one's answer begins could ask its engine for another first event, without a lock.

Cause: each attempt read the number of the next event in its own goroutine, while the session may already relay the events of the other attempt and advance it.

Change: the number is read once, before the attempts start, and passed to them.

--- a/relay/gateway/hedge.go
+++ b/relay/gateway/hedge.go
@@ -26,15 +26,17 @@
 // attempt that sends an event first and cancels the other; if all fail, it returns the last failure, with notRun set only if none
 // may have run.
 func (s *session) startHedged(ctx context.Context, ticket *dispatch.Ticket) startResult {
+	// An attempt that lost may still start while the events of the other one are relayed.
+	from := s.core.Next()
 	if ticket.HedgeDelay == 0 {
-		return s.reportFailure(ctx, s.startAttempt(ctx, ticket))
+		return s.reportFailure(ctx, s.startAttempt(ctx, ticket, from))
 	}
 	results := make(chan startResult, 2)
 	cancels := map[*dispatch.Ticket]context.CancelFunc{}
 	launch := func(t *dispatch.Ticket) {
 		attempt, cancel := context.WithCancel(ctx)
 		cancels[t] = cancel
-		go func() { results <- s.startAttempt(attempt, t) }()
+		go func() { results <- s.startAttempt(attempt, t, from) }()
 	}
 	launch(ticket)
 	timer := time.NewTimer(ticket.HedgeDelay)
@@ -77,13 +79,13 @@
 	}
 }
 
-// startAttempt sends the request and reads the first event.
-func (s *session) startAttempt(ctx context.Context, ticket *dispatch.Ticket) startResult {
+// startAttempt sends the request for the events with the number from and later, and reads the first one.
+func (s *session) startAttempt(ctx context.Context, ticket *dispatch.Ticket, from uint64) startResult {
 	version := versionOf(ticket.Upstream)
 	r := startResult{ticket: ticket}
 	s.importKVCache(ctx, ticket, version)
 	r.source, r.err = s.gateway.client.Open(ctx, upstream.Call{
-		Upstream: ticket.Upstream, Path: s.path, Body: s.body, Request: s.requestInfo.id, From: s.core.Next(),
+		Upstream: ticket.Upstream, Path: s.path, Body: s.body, Request: s.requestInfo.id, From: from,
 		Salt: salt(s.requestInfo.account.Name, version), Priority: ticket.Priority,
 	})
 	if r.err != nil {
