Refuse a call once none of its replicas could be reached

What callers saw: while all replicas of a plain service were down, calls that may be repeated waited until their time limit. What operators saw: thousands of lines of refused connections, which displaced those of the crashes before.

Cause: a call whose replicas had all failed was placed at any of them again, without a pause. That is meant for replicas that answer with an error; one to which no connection can be made is down for seconds.

Change: a replica that could not be reached is not tried again for the same request. If no other is left the call is refused at once as not run, with the time after which to come back.

--- a/relay/forward/placement.go
+++ b/relay/forward/placement.go
@@ -36,6 +36,8 @@
 	Only []string
 	// FailedUpstreams are the IDs of upstreams that failed or refused the request.
 	FailedUpstreams []string
+	// UnreachableUpstreams are the IDs of those to which no connection could be made.
+	UnreachableUpstreams []string
 }
 
 // Placement is an upstream chosen for one attempt of a request; exactly one of Finish, Fail and Cancel must be called to end it.
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -405,7 +405,9 @@
 	case errors.As(err, &notSent):
 		s.sends--
 		s.inFlight = false
-		f.NotRun = errors.As(err, &paused)
+		if f.NotRun = errors.As(err, &paused); !f.NotRun {
+			s.placementRequest.UnreachableUpstreams = append(s.placementRequest.UnreachableUpstreams, p.Upstream.ID)
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			s.forgetRun(p.Upstream)
 		}
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -370,7 +370,8 @@
 	p.mu.Lock()
 	id, ok := p.balance.Choose(now, r.Service.Name, candidates, r.FailedUpstreams)
 	if !ok && len(candidates) > 0 && r.Route.Repeatable() {
-		id, ok = p.balance.Choose(now, r.Service.Name, candidates, nil)
+		// A replica that can't be reached is down for seconds: the request is refused rather than sent there again and again.
+		id, ok = p.balance.Choose(now, r.Service.Name, candidates, r.UnreachableUpstreams)
 	}
 	if ok {
 		p.balance.Sent(now, id)
