Release the body of a request also if its answer comes before the write ends

Cause: whether a body was written was asked once, when the answer's header had come. The goroutine that writes a long body may say so a moment later, and the body then stayed charged until a stream had ended.

Change: the body is given up at that moment, and its memory is returned once the write has ended, unless the request has ended before.

Measured: the specs of relay/forward on released bodies and unchanged sends, and those of relay/connection, pass with the race detector.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -64,9 +64,11 @@
 	// Length is the body's length in bytes, or -1 if unknown.
 	Length int64
 
-	body        io.ReadCloser
-	pooledConn  *pooledConn
-	writeDone   chan error
+	body       io.ReadCloser
+	pooledConn *pooledConn
+	writeDone  chan error
+	// written is closed once writeDone has the result of the write.
+	written     chan struct{}
 	stop        func() bool
 	idleTimeout time.Duration
 	reuse       bool
@@ -120,7 +122,7 @@
 		p.putIdle(c, 0)
 		return nil, &NotSentError{Cause: err}
 	}
-	resp := &Response{pooledConn: c, Reused: c.used, writeDone: make(chan error, 1)}
+	resp := &Response{pooledConn: c, Reused: c.used, writeDone: make(chan error, 1), written: make(chan struct{})}
 	c.used = true
 	resp.stop = context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
 	if err := resp.send(r); err != nil {
@@ -140,15 +142,29 @@
 // Sent reports whether the whole request was written, so that its body is no longer needed for this attempt.
 func (resp *Response) Sent() bool { return len(resp.writeDone) > 0 }
 
+// AfterSent calls a function once the request was written or its writing has failed, at once if that is so already.
+func (resp *Response) AfterSent(call func()) {
+	if resp.Sent() {
+		call()
+		return
+	}
+	go func() {
+		<-resp.written
+		call()
+	}()
+}
+
 // send writes the request; a body above maxInlineBody is written concurrently with reading the response.
 func (resp *Response) send(r *Request) error {
 	head := encodeHead(r)
 	if len(r.Body) <= maxInlineBody {
 		_, err := resp.pooledConn.conn.Write(append(head, r.Body...))
 		resp.writeDone <- err
+		close(resp.written)
 		return err
 	}
 	go func() {
+		defer close(resp.written)
 		_, err := resp.pooledConn.conn.Write(head)
 		if err == nil {
 			_, err = resp.pooledConn.conn.Write(r.Body)
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -281,10 +281,17 @@
 
 // releaseBody returns the memory of the request's body, after which the request is not sent again.
 func (s *session) releaseBody(answer *connection.Response) {
-	if s.body != nil && answer.Sent() {
-		s.body, s.bodyReleased = nil, true
-		callers.ReleaseBody(s.r.Context())
+	if s.body == nil {
+		return
 	}
+	s.body, s.bodyReleased = nil, true
+	ctx := s.r.Context()
+	answer.AfterSent(func() {
+		// The caller's connection may carry another request once this one has ended.
+		if ctx.Err() == nil {
+			callers.ReleaseBody(ctx)
+		}
+	})
 }
 
 // attempts returns the number of upstreams at which the request may run.
