Count the failure of a trial at the control VM that gave it away

Cause: a crash under a part or request in quarantine renews the verdict only if its trial is due. The VM that makes the trial, or leaves it to another one, has put the next trial off by 30 s before the crash is reported, so that it took the crash for an earlier one. Its verdict kept its generation: with one control VM the request was sent each 30 s, and the verdict ended after ten minutes. With three it was the others that renewed it, unless these had asked for the trial too and so had learned the new time.

Change: a verdict keeps that its trial was made or given away; a crash of a request that was sent after the verdict then renews it.

--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -122,7 +122,7 @@
 		}
 	}
 	if trial != nil {
-		trial.trialAt = now + trialTimeout
+		trial.trialAt, trial.tried = now+trialTimeout, true
 	}
 	return 0, true
 }
--- a/relay/quarantine/request.go
+++ b/relay/quarantine/request.go
@@ -172,7 +172,7 @@
 	case now < v.trialAt && now >= v.grantedUntil:
 		return Admission{Wait: v.trialAt - now}
 	case v.Trial == c.name || now < v.grantedUntil:
-		v.grantedUntil, v.trialAt, v.trying = 0, now+trialTimeout, true
+		v.grantedUntil, v.trialAt, v.trying, v.tried = 0, now+trialTimeout, true, true
 		return Admission{Admitted: true}
 	case v.claimedAt == 0 || now-v.claimedAt >= claimInterval:
 		v.claimedAt = now
@@ -212,7 +212,7 @@
 		}
 		reply := Report{}
 		if now >= v.trialAt {
-			v.trialAt = now + trialTimeout
+			v.trialAt, v.tried = now+trialTimeout, true
 			reply.Grants = []uint64{request}
 		} else {
 			reply.Verdicts = []Verdict{v.export(now)}
--- /dev/null
+++ b/relay/quarantine/trial_test.go
@@ -0,0 +1,69 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("trials of a request in quarantine", func() {
+	// lateCrashes counts the replicas that end under a request which comes at a VM each interval, later than contact after the third.
+	lateCrashes := func(f *fleet, interval, duration time.Duration) (late int) {
+		crashes, third := 0, time.Duration(0)
+		for f.now < duration {
+			if f.crashRequest(f.vms[crashes%len(f.vms)], fmt.Sprint("s", crashes), crashingRequest) {
+				if crashes++; crashes == 3 {
+					third = f.now
+				}
+				if crashes > 3 && f.now > third+contact {
+					late++
+				}
+			}
+			f.run(interval)
+		}
+		return late
+	}
+
+	// Guards against trials each 30 s by a control VM that takes the failure of one that it has given away for an earlier crash.
+	for _, judges := range []int{1, 3} {
+		It(fmt.Sprintf("come at growing intervals also after failed ones, with %d control VMs", judges), func() {
+			Expect(lateCrashes(newFleet(4, judges), time.Second, 9*time.Minute)).To(BeNumerically("<=", 2))
+		})
+	}
+
+	It("come at growing intervals if several VMs ask for each, among them the other control VMs", func() {
+		f := newFleet(4, 3)
+		f.condemnRequest()
+		late := 0
+		for f.now < 9*time.Minute {
+			// All ask at one moment; the control VM that leaves the trial to vm0 tells the others when the next one is due.
+			for _, name := range []string{"vm0", "judge1", "judge2"} {
+				f.cores[name].AdmitRequest(f.now, crashingRequest)
+			}
+			f.run(3 * tick)
+			if f.crashRequest("vm0", fmt.Sprint("t", late), crashingRequest) {
+				late++
+			}
+			f.run(850 * time.Millisecond)
+		}
+		Expect(late).To(BeNumerically("<=", 2))
+	})
+})
+
+var _ = Describe("trials of a part of prompts", func() {
+	// Guards against trials each 30 s by a VM that judges the crashes of its own trials.
+	It("come at growing intervals also if the control VM makes them itself", func() {
+		f := newFleet(0, 1)
+		late := 0
+		for f.now < 9*time.Minute {
+			if f.crash("judge0", fmt.Sprint("e", late), crashing) {
+				late++
+			}
+			f.run(time.Second)
+		}
+		// Three crashes, and the trials after 30 s and after 2 minutes more.
+		Expect(late).To(BeNumerically("<=", 3+2))
+	})
+})
--- a/relay/quarantine/verdict.go
+++ b/relay/quarantine/verdict.go
@@ -12,8 +12,8 @@
 	since, until, trialAt time.Duration
 	// claimedAt is when this VM last asked for the trial, and grantedUntil the time until which it may make the trial of another one.
 	claimedAt, grantedUntil time.Duration
-	// trying is set from this VM's trial until its outcome.
-	trying bool
+	// trying is set from this VM's trial until its outcome, tried once a trial was made or left to another VM by this one.
+	trying, tried bool
 	// own is set on a verdict that this VM passed.
 	own bool
 	// endings are the last crashes under a request in quarantine.
@@ -58,9 +58,10 @@
 }
 
 // failTrial renews a verdict after a crash under a part in quarantine. Crashes of requests that were sent before the verdict don't
-// count, nor do those that several VMs report of one trial.
+// count, nor do those that several VMs report of one trial. The time of the next trial shows that there was none yet, except on the VM
+// that has made the trial or given it away.
 func (c *Core) failTrial(now time.Duration, v *verdict) {
-	if !c.judge || now < v.trialAt {
+	if !c.judge || now < v.trialAt && !v.tried {
 		return
 	}
 	c.adopt(now, Verdict{Part: v.Part, Request: v.Request, Generation: v.Generation + 1, Remaining: verdictLifetime, Trial: v.Trial, TrialIn: trialDelay(v.Generation + 1)}, nil)
