Keep a request under suspicion for ten minutes

Cause: the crashes under a request were forgotten 30 s after the last one. One that came again after longer pauses and ended one or two replicas each time was never judged, so that it ended replicas without limit.

Change: a request stays under suspicion for ten minutes; so do the answers that VMs remember, which refute it. Parts of prompts, which sound requests share, keep the 30 s. Only the requests that are due are sorted at each tick, as there may be more under suspicion.

--- a/relay/quarantine/answers.go
+++ b/relay/quarantine/answers.go
@@ -5,8 +5,8 @@
 const (
 	// maxAnswers is the number of parts after which the older half of answers is dropped.
 	maxAnswers = 4096
-	// answersLifetime is the time after which they are dropped in any case.
-	answersLifetime = 5 * time.Minute
+	// answersLifetime is the time after which they are dropped in any case: no sooner than a suspicion that one of them refutes.
+	answersLifetime = requestLifetime
 )
 
 // answers has the times at which parts were last answered, in two generations, of which the older one is dropped as a whole: after
--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -19,8 +19,10 @@
 	minCrashInterval = 250 * time.Millisecond
 	// objectionTime is how long a judge waits for the VMs to report answers before it passes a verdict.
 	objectionTime = 300 * time.Millisecond
-	// suspicionLifetime is how long a part stays under suspicion after a crash.
+	// suspicionLifetime is how long a part stays under suspicion after a crash. A request, which is one of its kind, stays so for
+	// requestLifetime, as it may come again after a pause.
 	suspicionLifetime = 30 * time.Second
+	requestLifetime   = 10 * time.Minute
 	// restartTime is less than an engine takes to come back: a crash that is reported again within it is the same one.
 	restartTime = time.Second
 	// verdictLifetime is how long a verdict lasts. firstTrial is the time until its first trial, which grows fourfold with each crash
@@ -294,7 +296,7 @@
 		}
 	}
 	for request, s := range c.requests {
-		if now-s.last >= suspicionLifetime {
+		if now-s.last >= requestLifetime {
 			delete(c.requests, request)
 		}
 	}
--- a/relay/quarantine/request.go
+++ b/relay/quarantine/request.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -90,12 +89,15 @@
 
 // judgeRequests puts the requests in quarantine that are due. A bystander comes up again with its next crash.
 func (c *Core) judgeRequests(now time.Duration) {
-	var condemned []uint64
-	for _, request := range slices.Sorted(maps.Keys(c.requests)) {
-		s := c.requests[request]
-		if s.due == 0 || now < s.due {
-			continue
+	var due, condemned []uint64
+	for request, s := range c.requests {
+		if s.due > 0 && now >= s.due {
+			due = append(due, request)
 		}
+	}
+	slices.Sort(due)
+	for _, request := range due {
+		s := c.requests[request]
 		s.due = 0
 		excused := false
 		for other, o := range c.requests {
--- a/relay/quarantine/trial_test.go
+++ b/relay/quarantine/trial_test.go
@@ -50,6 +50,24 @@
 		}
 		Expect(late).To(BeNumerically("<=", 2))
 	})
+
+	// Guards against a request that comes so seldom that each crash under it is forgotten before the next one.
+	for _, interval := range []time.Duration{35 * time.Second, 2 * time.Minute} {
+		It(fmt.Sprintf("are all that is sent of it once three replicas have ended, also if it comes each %v only", interval), func() {
+			Expect(lateCrashes(newFleet(4, 3), interval, 16*time.Minute)).To(BeNumerically("<=", 3))
+		})
+	}
+
+	It("are not needed for a request that is seldom sent and answered between the ends of replicas", func() {
+		f := newFleet(4, 3)
+		for i := range 10 {
+			Expect(f.crashRequest(f.vms[i%4], fmt.Sprint("s", i), soundRequest)).To(BeTrue())
+			f.run(100 * time.Second)
+			Expect(f.admits(f.vms[(i+1)%4], soundRequest)).To(BeTrue())
+			f.cores[f.vms[(i+1)%4]].AnsweredRequest(f.now, soundRequest)
+			f.run(100 * time.Second)
+		}
+	})
 })
 
 var _ = Describe("trials of a part of prompts", func() {
