Bound callers' connections by the limit of open files by default

Change: the default is -1, which stands for the process's own soft limit of open files (RLIMIT_NOFILE, which the Go runtime has raised to the hard one), read when the guard is made. What is kept for files, other VMs and upstreams is taken off as before.

--- a/relay/callers/guard.go
+++ b/relay/callers/guard.go
@@ -39,6 +39,7 @@
 type Guard struct {
 	memory      int64
 	descriptors int
+	openFiles   func() (uint64, error)
 	log         log.Interface
 	start       time.Time
 
@@ -63,7 +64,7 @@
 // WithMemory sets the memory of the machine in bytes; 0 means no limit.
 func WithMemory(bytes int64) Option { return func(g *Guard) { g.memory = bytes } }
 
-// WithDescriptors sets the number of descriptors of the process; 0 means no limit.
+// WithDescriptors sets the number of descriptors of the process; OwnLimit stands for its limit of open files, and 0 means no limit.
 func WithDescriptors(count int) Option { return func(g *Guard) { g.descriptors = count } }
 
 // WithLog sets the log.
@@ -71,10 +72,13 @@
 
 // New returns a guard, or nil without a limit of memory or descriptors.
 func New(options ...Option) *Guard {
-	g := &Guard{log: log.Log, start: time.Now(), conns: map[ID]*conn{}, events: map[string]*event{}}
+	g := &Guard{openFiles: openFiles, log: log.Log, start: time.Now(), conns: map[ID]*conn{}, events: map[string]*event{}}
 	for _, option := range options {
 		option(g)
 	}
+	if g.descriptors == OwnLimit {
+		g.descriptors = g.ownDescriptors()
+	}
 	if g.memory == 0 && g.descriptors == 0 {
 		return nil
 	}
--- a/relay/settings/fields.go
+++ b/relay/settings/fields.go
@@ -71,7 +71,7 @@
 	floatField("limits.slack", "The number of retries that all VMs together may make in addition, in any ten seconds.", func(s *Settings) *float64 { return &s.Limits.Slack }),
 	intField("limits.lines", "The largest number of log lines that the VM writes per second; dropped lines are counted.", 1, 1<<20, func(s *Settings) *int { return &s.Limits.Lines }),
 	sizeField("limits.memory", "The memory of the machine, by which callers are bounded; 0B for no bound.", 0, 1<<40, func(s *Settings) int64 { return s.Limits.Memory }, func(s *Settings, n int64) { s.Limits.Memory = n }),
-	intField("limits.descriptors", "The number of file descriptors of the process, by which callers' connections are bounded; 0 for no bound.", 0, 1<<24, func(s *Settings) *int { return &s.Limits.Descriptors }),
+	intField("limits.descriptors", "The number of file descriptors of the process, by which callers' connections are bounded; -1 for its limit of open files, 0 for no bound.", -1, 1<<24, func(s *Settings) *int { return &s.Limits.Descriptors }),
 	intField("limits.loads", "The largest number of engines that read from the weight store at once; the same on all VMs.", 1, 1<<16, func(s *Settings) *int { return &s.Limits.Loads }),
 	durationField("quota.window", "The window in which the rate of an account is bounded, for all VMs together; the same on all VMs, as the other settings of quota.", 100*time.Millisecond, func(s *Settings) *time.Duration { return &s.Quota.Window }),
 	floatField("quota.overage", "The share by which an account may exceed its rate and burst in a window. VMs that reach no leader, and a new leader, have nothing else to grant.", func(s *Settings) *float64 { return &s.Quota.Overage }),
--- a/relay/settings/settings.go
+++ b/relay/settings/settings.go
@@ -118,7 +118,7 @@
 	// Lines is the largest number of log lines that a VM writes per second.
 	Lines int
 	// Memory is the memory of the machine in bytes and Descriptors the number of descriptors of the process; both bound what callers
-	// occupy, and 0 means no bound.
+	// occupy, and 0 means no bound. Descriptors is -1 for the process's limit of open files.
 	Memory      int64
 	Descriptors int
 }
@@ -149,7 +149,7 @@
 			Balancer: 3 * time.Second, Claim: 5 * time.Second, Write: 20 * time.Second,
 			Stop: time.Hour, Orders: 5 * time.Second, Weights: 30 * time.Second, Repair: 10 * time.Second,
 		},
-		Limits:     Limits{Body: 8 << 20, Headers: 32 << 10, Answer: 64 << 10, Queue: 4096, Loads: 2, Retries: 0.1, Slack: 20, Lines: 500},
+		Limits:     Limits{Body: 8 << 20, Headers: 32 << 10, Answer: 64 << 10, Queue: 4096, Loads: 2, Retries: 0.1, Slack: 20, Lines: 500, Descriptors: -1},
 		Quota:      Quota{Window: 10 * time.Second, Overage: 0.1, Validity: 5 * time.Second},
 		Discovered: Discovered{Losses: 1, Lists: 10, Centres: map[string]string{}},
 	}
--- a/relay/settings/settings_test.go
+++ b/relay/settings/settings_test.go
@@ -69,6 +69,18 @@
 		Expect(s).To(Equal(want))
 	})
 
+	// Guards against a default that takes the place of an explicit value.
+	DescribeTable("reads the bound of descriptors", func(text string, want int) {
+		s, err := settings.Parse("vm.json", []byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Limits.Descriptors).To(Equal(want))
+		Expect(s.Limits.Memory).To(BeZero())
+	},
+		Entry("the process's limit without a value", `{}`, -1),
+		Entry("no bound", `{"limits": {"descriptors": 0}}`, 0),
+		Entry("a number", `{"limits": {"descriptors": 1024}}`, 1024),
+	)
+
 	It("agrees with the manual on the fields and their defaults, on the examples and on the quoted error", func() {
 		page, err := os.ReadFile("../../docs/operate/settings.md")
 		Expect(err).NotTo(HaveOccurred())
@@ -116,6 +128,7 @@
 		Entry("a negative size", "{\"limits\": {\n\"memory\": \"-1MiB\"}}", 2, "limits.memory", "with its unit"),
 		Entry("a count as text", "{\"limits\": {\n\"queue\": \"9\"}}", 2, "limits.queue", "without quotes"),
 		Entry("a limit of 0 loads, with which engines would never load a new weights version", "{\"limits\": {\n\"loads\": 0}}", 2, "limits.loads", "from 1 to 65536"),
+		Entry("a negative number of descriptors", "{\"limits\": {\n\"descriptors\": -2}}", 2, "limits.descriptors", "from -1 to 16777216"),
 		Entry("a count with a fraction", "{\"limits\": {\n\"queue\": 1.5}}", 2, "limits.queue", "whole number"),
 		Entry("a number instead of a name", "{\n\"name\": 7}", 2, "name", "between quotes"),
 		Entry("a name with a space", "{\n\"name\": \"a b\"}", 2, "name", "a-z, 0-9"),
