Show learned speeds and knees in the table of upstreams

Change: show upstreams has the columns speed, knee, observed (time since the last observation) and observations, from the VM's capacity core. They are empty where nothing was observed. Knees are learned for calls only, so that engines show 1; replicas of plain services are not learned by the daemon.

--- a/operate/chicoryctl_test.go
+++ b/operate/chicoryctl_test.go
@@ -90,6 +90,13 @@
 		Expect(stub.header(0, commandIDHeader)).To(BeEmpty())
 	})
 
+	It("prints learned speeds, and nothing for an upstream of which none is known", func() {
+		stub.setResponse(200, `{"columns":["name","speed","knee","observed","observations"],"rows":[["e1",1.6,0.625,"1.25s",40],["b1",null,null,null,null]]}`)
+		expectExit(exitAccepted, "", "show", "upstreams", "name,", "speed,", "knee,", "observed,", "observations", "order", "by", "speed", "desc")
+		Expect(out.String()).To(And(ContainSubstring("│ e1   │ 1.6   │ 0.625 │ 1.25s    │ 40           │"), ContainSubstring("│ b1   │       │       │          │              │")))
+		Expect(stub.sent()).To(Equal([]string{"/statement show upstreams name, speed, knee, observed, observations order by speed desc"}))
+	})
+
 	It("prints the relay's JSON response unchanged with --json", func() {
 		stub.setResponse(200, `{"columns":["name"],"rows":[["vm1"]]}`)
 		expectExit(exitAccepted, `{"columns":["name"],"rows":[["vm1"]]}`, "show", "vms", "--json")
--- a/relay/app_tables.go
+++ b/relay/app_tables.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/coord/configuration"
 	"github.com/chicoryrelay/chicoryrelay/coord/quorum"
+	"github.com/chicoryrelay/chicoryrelay/relay/capacity"
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
@@ -19,6 +21,8 @@
 func newTables(s settings.Settings, host *control.Host, d *dispatch.Dispatcher, g *gateway.Gateway) view.Tables {
 	current := func() *catalogue.Catalogue { return host.View().Catalogue }
 	tables := view.FromCatalogue(current)
+	upstreams := tables.Upstreams
+	tables.Upstreams = func() []view.Row { return view.Merge(upstreams(), "name", speedRows(d)) }
 	tables.VMs = func() []view.Row { return vmRows(s, host) }
 	tables.Leases = func() []view.Row { return leaseRows(host) }
 	tables.Versions = func() []view.Row { return versionRows(host) }
@@ -137,6 +141,26 @@
 	return rows
 }
 
+// speedRows returns what this VM has learned of the speeds of upstreams, by name; none unless speeds are learned.
+func speedRows(d *dispatch.Dispatcher) map[string]view.Row {
+	rows := map[string]view.Row{}
+	d.Inspect(func(now time.Duration, core *routing.Core) {
+		if core.Speeds() == nil {
+			return
+		}
+		for _, state := range core.Speeds().States(now) {
+			rows[state.Server] = speedRow(state)
+		}
+	})
+	return rows
+}
+
+func speedRow(state capacity.State) view.Row {
+	return view.Row{
+		"speed": math.Round(state.Factor*100) / 100, "knee": state.Knee, "observed": state.Age.Round(time.Millisecond), "observations": state.Observations,
+	}
+}
+
 func explainRows(c *catalogue.Catalogue, d *dispatch.Dispatcher, assistant, account string) ([]view.Row, error) {
 	if c == nil {
 		return nil, fmt.Errorf("this VM has no configuration yet; try again or ask another VM")
--- a/relay/operator/view/tables.go
+++ b/relay/operator/view/tables.go
@@ -32,7 +32,7 @@
 // columns lists the columns of each table in display order.
 var columns = map[string][]string{
 	"vms":        {"name", "centre", "region", "address", "control", "state", "boot", "version", "lease"},
-	"upstreams":  {"name", "kind", "service", "model", "adapter", "weights", "role", "centre", "region", "address", "slots", "cache", "fenced", "state", "incarnation", "outstanding", "ttft", "health"},
+	"upstreams":  {"name", "kind", "service", "model", "adapter", "weights", "role", "centre", "region", "address", "slots", "cache", "fenced", "state", "incarnation", "outstanding", "ttft", "health", "speed", "knee", "observed", "observations"},
 	"models":     {"name", "adapter", "weights", "upstreams", "draining"},
 	"accounts":   {"name", "weight", "limit", "regions", "outstanding"},
 	"assistants": {"name", "model", "adapter", "weights", "deadline"},
