Describe how to trace a 429 to the account's rate

Change: OPERATIONS leads from the answer to the line of the request, the accounts at their limit, the metrics of the VMs, the document's rate and a higher one; and does the same with chicoryctl for limits of requests in progress. The lines of the VMs stand in operations/account_rate.log, and the scenario runs the commands on them; it fails on the page before.

--- a/scenarios/operations.sh
+++ b/scenarios/operations.sh
@@ -18,4 +18,8 @@
 expect 'event="answer broken off".*request=91bf6f6189354ffc'
 expect 'event="order answered".*upstream=i-73867d0f14'
 expect 'event=failed .*request=4583821fd3703b75.*status=504'
-echo "operations: the commands lead from three failed requests to their causes"
+expect 'kind=account_rate .*request=5e0c1d'
+expect 'event="account at its limit" account=cooperative'
+expect '^ *39 vm=127.0.0.20:21100$'
+expect 'event="desired state in force".*number=2'
+echo "operations: the commands lead from four failed requests to their causes"
