Take no error for the answer to a request that ends replicas

Cause: any complete answer of a replica of a plain service ended the suspicion of its request and lifted its verdict at all VMs, also a 5xx or a 429 of a replica that had not run it. A request that met such a replica after each second crash ended replicas without limit. On engines an error was no answer already.

Change: an error leaves the suspicion as it is, and the trial to the next request, so that a sound one isn't refused for 30 s more.

--- a/relay/dispatch/request.go
+++ b/relay/dispatch/request.go
@@ -69,14 +69,15 @@
 	}
 }
 
-// RequestUnsent records that a request which was admitted was not run after all.
+// RequestUnsent records that a request which was admitted was not run after all, or that its error doesn't show whether it was: its trial
+// is still to be made.
 func (d *Dispatcher) RequestUnsent(fingerprint uint64) {
 	if fingerprint != 0 && d.quarantined.Load() > 0 {
 		d.post(func(now time.Duration) { d.quarantine.UnsentRequest(now, fingerprint) })
 	}
 }
 
-// RequestAnswered records a complete answer to a request that is not placed by the routing core.
+// RequestAnswered records a complete answer, other than an error, to a request that is not placed by the routing core.
 func (d *Dispatcher) RequestAnswered(fingerprint uint64) {
 	if fingerprint != 0 {
 		d.post(func(now time.Duration) { d.quarantine.AnsweredRequest(now, fingerprint) })
--- a/relay/gateway/booker.go
+++ b/relay/gateway/booker.go
@@ -308,7 +308,7 @@
 	go func() {
 		sentAt := time.Now()
 		answer, err := connection.Call(context.Background(), e.call.Call, e.booker.maxAnswerBytes)
-		e.booker.crashes.record(e.fingerprint, replica, sentAt, err)
+		e.booker.crashes.record(e.fingerprint, replica, sentAt, answer.Status, err)
 		if err != nil {
 			e.events <- booking.Event{Kind: booking.ExchangeFailed, Err: err}
 			return
--- a/relay/gateway/crash_guard.go
+++ b/relay/gateway/crash_guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
@@ -13,10 +14,11 @@
 type CrashGuard struct {
 	// Admit returns nil if a call may be sent, or else the refusal of a call that has not run.
 	Admit func(ctx context.Context, fingerprint uint64) *outcome.Refusal
-	// Crashed records that a replica's connection ended under a call, so long after it was sent; Unsent that an admitted call was not sent.
+	// Crashed records that a replica's connection ended under a call, so long after it was sent; Unsent that an admitted call was not sent,
+	// or was answered with an error that does not show whether a replica has run it.
 	Crashed func(fingerprint uint64, upstream string, running time.Duration)
 	Unsent  func(fingerprint uint64)
-	// Answered records a complete answer.
+	// Answered records any other complete answer.
 	Answered func(fingerprint uint64)
 }
 
@@ -28,9 +30,11 @@
 	}
 }
 
-// record records the outcome of a call that was sent at a time.
-func (g *CrashGuard) record(fingerprint uint64, replica string, sentAt time.Time, err error) {
+// record records the outcome of a call that was sent at a time: the status of its answer, or an error.
+func (g *CrashGuard) record(fingerprint uint64, replica string, sentAt time.Time, status int, err error) {
 	switch {
+	case err == nil && (status >= http.StatusInternalServerError || status == http.StatusTooManyRequests):
+		g.Unsent(fingerprint)
 	case err == nil:
 		g.Answered(fingerprint)
 	case hasEnded(err):
--- a/relay/gateway/service.go
+++ b/relay/gateway/service.go
@@ -125,7 +125,7 @@
 		}
 		sentAt := g.now()
 		answer, err := g.client.CallIdempotent(r.Context(), replica.Address, call, g.maxBodyBytes)
-		g.crashes.record(id, replica.Name, sentAt, err)
+		g.crashes.record(id, replica.Name, sentAt, answer.Status, err)
 		if err == nil && answer.Status != http.StatusBadGateway && answer.Status != http.StatusServiceUnavailable {
 			g.writeAnswer(w, info, Answer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: answer.Body})
 			answer.Release()
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -392,7 +392,11 @@
 		Upstream: u, Priority: -1,
 		Begin: func() {},
 		Finish: func(h forward.AnswerMetadata) {
-			p.dispatch.RequestAnswered(r.Fingerprint)
+			if h.Status < http.StatusInternalServerError {
+				p.dispatch.RequestAnswered(r.Fingerprint)
+			} else {
+				p.dispatch.RequestUnsent(r.Fingerprint)
+			}
 			settle(func(at time.Duration) { p.balance.Completed(at, r.Service.Name, id, at-now, balanceLoad(h)) })
 		},
 		Fail: func(f forward.Failure) {
@@ -400,10 +404,9 @@
 			switch {
 			case f.Ended:
 				p.dispatch.RequestCrashed(r.Fingerprint, u.ID, f.Running)
-			case f.NotRun || !f.Sent:
+			case f.NotRun || !f.Sent || f.Status >= http.StatusInternalServerError:
+				// An error doesn't show that the replica has run the request, nor that it hasn't.
 				p.dispatch.RequestUnsent(r.Fingerprint)
-			case f.Status > 0:
-				p.dispatch.RequestAnswered(r.Fingerprint)
 			}
 			settle(func(at time.Duration) {
 				switch {
