Keep the trial of a call whose replica could not be reached

Cause: the daemon's idempotent calls told the guard nothing of a replica that can't be dialled. A request in quarantine whose trial met a replica that was still down waited 30 s for the next one; a sound one is tried at once, when replicas have just ended. Bookings, and calls on the users' path, left the trial to the next attempt already.

Change: an error of Dial is ErrNotSent, and the guard is told that the call was not sent.

--- a/relay/gateway/crash_guard.go
+++ b/relay/gateway/crash_guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -33,7 +34,7 @@
 // record records the outcome of a call that was sent at a time: the status of its answer, or an error.
 func (g *CrashGuard) record(fingerprint uint64, replica string, sentAt time.Time, status int, err error) {
 	switch {
-	case err == nil && (status >= http.StatusInternalServerError || status == http.StatusTooManyRequests):
+	case errors.Is(err, upstream.ErrNotSent), err == nil && (status >= http.StatusInternalServerError || status == http.StatusTooManyRequests):
 		g.Unsent(fingerprint)
 	case err == nil:
 		g.Answered(fingerprint)
--- a/relay/gateway/crash_guard_test.go
+++ b/relay/gateway/crash_guard_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// replicaAnswering returns the address of a replica that answers with a status, and breaks off for 0.
+// replicaAnswering returns the address of a replica that answers with a status, breaks off for 0 and can't be reached for -1.
 func replicaAnswering(status int) netip.AddrPort {
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if status == 0 {
@@ -60,6 +60,9 @@
 		w.WriteHeader(status)
 	}))
 	DeferCleanup(service.Close)
+	if status < 0 {
+		service.Close()
+	}
 	return netip.MustParseAddrPort(service.Listener.Addr().String())
 }
 
@@ -78,7 +81,7 @@
 }
 
 // Guards against requests that end replica after replica because an error between two of these ends counts as an answer, and against
-// sound ones whose trial is lost at a replica that wants no calls.
+// sound ones whose trial is lost at a replica that can't be reached or wants no calls.
 var _ = DescribeTable("the outcomes that a guard is told of", func(status int, want string) {
 	By("an idempotent call")
 	c, g := newCallCatalogue(status), &guardEvents{}
@@ -125,4 +128,5 @@
 	Entry("of a replica that wants no calls", http.StatusServiceUnavailable, "unsent"),
 	Entry("of a replica with too many calls", http.StatusTooManyRequests, "unsent"),
 	Entry("of a replica that ends", 0, "crashed"),
+	Entry("of a replica that can't be reached", -1, "unsent"),
 )
--- a/relay/upstream/service.go
+++ b/relay/upstream/service.go
@@ -48,7 +48,7 @@
 	limit   time.Duration
 }
 
-// Dial connects to a service. After an error no byte of the call was sent.
+// Dial connects to a service. An error is ErrNotSent.
 func (c *Client) Dial(ctx context.Context, address netip.AddrPort) (*Connection, error) {
 	if err := c.permit(address); err != nil {
 		return nil, err
@@ -56,7 +56,7 @@
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return nil, oops.With("address", address).Hint("check that the upstream runs at this address").Wrapf(err, "dial upstream")
+		return nil, errors.Join(ErrNotSent, oops.With("address", address).Hint("check that the upstream runs at this address").Wrapf(err, "dial upstream"))
 	}
 	return &Connection{client: c, address: address, conn: conn, limit: c.headerTimeout}, nil
 }
