Ask again each second for verdicts that differ

Cause: a VM that sees the checksum of other verdicts asks for them, and asked again about the same checksum after ten seconds only. Where the question or its answer was lost, as on a link that was cut meanwhile, the VM sent the requests in quarantine for up to ten seconds.

Change: it asks again each second, as often as the checksums come.

Result: relay/quarantine, a question that is lost: the request was admitted four seconds later before, refused after. The package passes with the race detector.

--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -33,9 +33,9 @@
 	tiedTrial       = 2 * time.Second
 	maxTrial        = 8 * time.Minute
 	trialTimeout    = 30 * time.Second
-	// checksumInterval is the interval at which judges tell the checksum of their verdicts, and repeatInterval that at which a VM tells
-	// those that it passed itself, and asks again about a checksum that still differs. A VM that has started asks for them
-	// each queryInterval until it has an answer, and goes without one after learningTime.
+	// checksumInterval is the interval at which judges tell the checksum of their verdicts, and that at which a VM asks again about one
+	// that still differs: its question or the answer may have been lost. repeatInterval is that at which a VM tells the verdicts that it
+	// passed itself. A VM that has started asks for them each queryInterval until it has an answer, and goes without one after learningTime.
 	checksumInterval = time.Second
 	repeatInterval   = 10 * time.Second
 	queryInterval    = 250 * time.Millisecond
@@ -361,7 +361,7 @@
 
 // compare asks a judge for its verdicts if their checksum differs from that of this VM's.
 func (c *Core) compare(now time.Duration, from string, checksum uint64) {
-	if checksum == 0 || checksum == c.checksum() || checksum == c.askedChecksum && now-c.askedAt < repeatInterval {
+	if checksum == 0 || checksum == c.checksum() || checksum == c.askedChecksum && now-c.askedAt < checksumInterval {
 		return
 	}
 	c.askedChecksum, c.askedAt = checksum, now
