Refuse a document of the desired state that can be read in two ways

Cause: encoding/json keeps the last of a key's values, sets a field by a key in another case, and replaces bytes that are no UTF-8 and escapes of half a character. So the state in force was not the one that the operator wrote: of two lists of tenants, keys or routes one was dropped, and two keys of bytes that are no text became the same one. Codec.Accept, which operators' calls go through, refuses the document and names the place. Unknown fields are ignored as before, whatever keys are in them, as long as none comes twice in one object; the own format goes on refusing them. A document that is in force already, accepted by an earlier release, is decoded as before. A field in another case is refused rather than ignored: an "Isolated" that is ignored would share a tenant's cached prompts.

--- a/relay/route/codec.go
+++ b/relay/route/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"io"
@@ -9,16 +10,40 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/syntax"
 )
 
 // Codec decodes documents of the desired state.
 type Codec struct {
 	// Decode returns the validated state of a document; its error is an *Invalid.
 	Decode func(document []byte) (*State, error)
+	// Check returns an *Invalid for a document that Decode reads otherwise than it is written.
+	Check func(document []byte) error
+}
+
+// Accept returns the validated state of a new document, with an *Invalid also for what only Check finds. A document in force may come from
+// a release that accepted more, so it is only decoded.
+func (c Codec) Accept(document []byte) (*State, error) {
+	state, err := c.Decode(document)
+	if err == nil {
+		err = c.Check(document)
+	}
+	return state, err
+}
+
+// CheckSyntax returns an *Invalid for the first place at which a document is decoded into a value of the type of into otherwise than it is
+// written.
+func CheckSyntax(text []byte, into any) error {
+	var fault *syntax.Error
+	if !errors.As(syntax.Check(text, into), &fault) {
+		return nil
+	}
+	return &Invalid{Field: cmp.Or(fault.Path, "document"), Remedy: fault.Remedy}
 }
 
 // Own is the codec of chicoryrelay's own JSON format, which docs/routes.md specifies.
-var Own = Codec{Decode: decodeOwn}
+var Own = Codec{Decode: decodeOwn, Check: func(text []byte) error { return CheckSyntax(text, new(document)) }}
 
 // duration is encoded as text with its unit, such as 800ms.
 type duration time.Duration
--- a/relay/route/route_test.go
+++ b/relay/route/route_test.go
@@ -25,7 +25,7 @@
 	"accounts": [{"name": "baths", "keys": ["k1", "k2"], "isolated": true}]
 }`
 
-func decode(text string) (*route.State, error) { return route.Own.Decode([]byte(text)) }
+func decode(text string) (*route.State, error) { return route.Own.Accept([]byte(text)) }
 
 func table() *route.Table {
 	GinkgoHelper()
@@ -166,7 +166,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		example := regexp.MustCompile("(?s)```json\n(.*?)```").FindSubmatch(page)
 		Expect(example).NotTo(BeNil())
-		state, err := route.Own.Decode(example[1])
+		state, err := route.Own.Accept(example[1])
 		Expect(err).NotTo(HaveOccurred())
 		Expect(state.Routes).NotTo(BeEmpty())
 	})
@@ -182,6 +182,12 @@
 		Entry("the end of another document after it", "\"isolated\": true}]\n}", "\"isolated\": true}]\n}]}", "document"),
 		Entry("another document after it", "\"isolated\": true}]\n}", "\"isolated\": true}]\n}{}", "document"),
 		Entry("an unknown field", `"version"`, `"size"`, "document"),
+		// Guards against a state in force that isn't the one that the operator wrote.
+		Entry("a field given twice", `"name": "all"`, `"name": "all", "name": "any"`, "routes[0].name"),
+		Entry("a service given twice in a split", `"split": {"plain": 1}`, `"split": {"plain": 1, "plain": 2}`, "routes[0].split.plain"),
+		Entry("a field in another case", `"isolated"`, `"Isolated"`, "accounts[0].Isolated"),
+		Entry("a key that is no text", `"k2"`, "\"\xff\"", "accounts[0].keys[1]"),
+		Entry("half a character", `"k2"`, `"\ud83d"`, "accounts[0].keys[1]"),
 		Entry("an unknown service", `"split": {"plain": 1}`, `"split": {"other": 1}`, "other"),
 		Entry("two routes with the same prefix and with hosts that differ only in case", `"/a/b/"`, `"/a/"`, "all and deep"),
 		Entry("no weight above 0", `{"plain": 1}`, `{"plain": 0}`, "all"),
--- a/relay/vm/operators.go
+++ b/relay/vm/operators.go
@@ -34,7 +34,7 @@
 	return Operators{
 		Replace: func(ctx context.Context, number uint64, document []byte) error {
 			entry := logger.WithFields(log.Fields{"number": number, "bytes": len(document)})
-			if _, err := st.adapter.Documents.Decode(document); err != nil {
+			if _, err := st.adapter.Documents.Accept(document); err != nil {
 				entry.WithField("cause", err.Error()).Info("desired state refused")
 				return err
 			}
