--- a/relay/syntax/check.go
+++ b/relay/syntax/check.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"reflect"
 	"strconv"
+	"sync"
 	"unicode/utf8"
 )
 
@@ -29,13 +30,18 @@
 // Check returns an *Error for the first place at which json.Unmarshal decodes valid JSON into a value of the type of into otherwise than it
 // is written.
 func Check(text []byte, into any) error {
-	// The arrays keep what is open in most texts from the heap.
-	var open [8]opened
-	var unknown [maxCompared][]byte
-	s := scanner{text: text, open: open[:0], unknown: unknown[:0]}
+	s := scanners.Get().(*scanner)
+	defer s.free()
+	s.text = text
 	return s.run(shapeOf(reflect.TypeOf(into)))
 }
 
+// scanners keeps what most texts need, so that a check of a small one allocates nothing.
+var scanners = sync.Pool{New: func() any { return &scanner{open: make([]opened, 0, maxKept), unknown: make([][]byte, 0, maxKept)} }}
+
+// maxKept bounds the objects and the keys for which a scanner keeps the room.
+const maxKept = 16
+
 // opened is an object or list whose end hasn't come yet.
 type opened struct {
 	shape *shape
@@ -63,6 +69,17 @@
 	unknown [][]byte
 }
 
+// free gives the scanner back, without what was scanned.
+func (s *scanner) free() {
+	if cap(s.open) > maxKept || cap(s.unknown) > maxKept {
+		return
+	}
+	clear(s.open[:cap(s.open)])
+	clear(s.unknown[:cap(s.unknown)])
+	*s = scanner{open: s.open[:0], unknown: s.unknown[:0]}
+	scanners.Put(s)
+}
+
 func (s *scanner) run(top *shape) error {
 	for s.at < len(s.text) {
 		var err error
