Take a refusal for one of a request that was not run only if it says so once

Cause: of two codes the last counted, and "leaving":true anywhere in a 503, also in a text that is no JSON, made it the refusal of an upstream that leaves. After such a refusal a request is sent elsewhere, which for one that has run is a second run. Change: refusals of engines and services are decoded with syntax.Unmarshal, and leaving is a field of the refusal.

--- a/relay/upstream/order_test.go
+++ b/relay/upstream/order_test.go
@@ -99,6 +99,12 @@
 		Entry("a request with the same ID runs", http.StatusConflict, `{"error":{"code":"duplicate"}}`, false),
 		Entry("loading", http.StatusServiceUnavailable, `{"error":{"code":"loading"}}`, true),
 		Entry("leaving", http.StatusServiceUnavailable, `{"error":{"code":"leaving"},"leaving":true}`, true),
+		// Guards against a refusal that says both, which is taken for one that a request may be repeated after.
+		Entry("two codes", http.StatusServiceUnavailable, `{"error":{"code":"failed","code":"busy"}}`, false),
+		Entry("two errors", http.StatusServiceUnavailable, `{"error":{"code":"failed"},"error":{"code":"busy"}}`, false),
+		Entry("a code in another case", http.StatusServiceUnavailable, `{"error":{"code":"failed","Code":"busy"}}`, false),
+		Entry("leaving and not", http.StatusServiceUnavailable, `{"error":{"code":"failed"},"leaving":false,"leaving":true}`, false),
+		Entry("leaving in a text of another kind", http.StatusServiceUnavailable, `<p>"leaving":true</p>`, false),
 		Entry("another 503", http.StatusServiceUnavailable, ``, false),
 		Entry("an internal error of the engine", http.StatusInternalServerError, `{"error":{"code":"version"}}`, false),
 	)
--- a/relay/upstream/stream.go
+++ b/relay/upstream/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 	"strconv"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
+	"github.com/chicoryrelay/chicoryrelay/relay/syntax"
 )
 
 // maxErrorBytes limits the part of an engine's error response that is read.
@@ -117,7 +117,10 @@
 
 // isLeavingRefusal reports whether a response is the refusal of a leaving upstream.
 func isLeavingRefusal(status int, body []byte) bool {
-	return status == http.StatusServiceUnavailable && bytes.Contains(body, []byte(`"leaving":true`))
+	var refusal struct {
+		Leaving bool `json:"leaving"`
+	}
+	return status == http.StatusServiceUnavailable && syntax.Unmarshal(body, &refusal) == nil && refusal.Leaving
 }
 
 // isNotRunRefusal reports whether a refusal's code means that the request was not run. A 409 alone is not enough: it is also the
@@ -128,7 +131,7 @@
 			Code string `json:"code"`
 		} `json:"error"`
 	}
-	if json.Unmarshal(text, &body) != nil {
+	if syntax.Unmarshal(text, &body) != nil {
 		return false
 	}
 	return status == http.StatusConflict && body.Error.Code == "version" || status == http.StatusServiceUnavailable && (body.Error.Code == "loading" || body.Error.Code == "busy")
