Use no load report or exported KV cache that can be read in two ways

Cause: of a field given twice the last was used, and a field in another case set the one of its letters. An exported KV cache with two salts was checked by one of them and imported by an engine that may read the other. Change: both are decoded with syntax.Unmarshal.

--- a/relay/upstream/load.go
+++ b/relay/upstream/load.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/syntax"
 )
 
 // maxReportBytes and maxListBytes limit the size of a load report and of the platform's list.
@@ -104,7 +105,7 @@
 	if err != nil {
 		return nil, oops.With("address", address).Wrapf(err, "read %s", path)
 	}
-	return response.Header, json.Unmarshal(body, into)
+	return response.Header, syntax.Unmarshal(body, into)
 }
 
 // Poll calls read immediately and then at each interval until the context is done.
--- a/relay/upstream/transfer.go
+++ b/relay/upstream/transfer.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
+	"github.com/chicoryrelay/chicoryrelay/relay/syntax"
 )
 
 const (
@@ -61,7 +62,7 @@
 // checkBinding rejects an exported KV cache of another account, version or exporter's incarnation before it is imported.
 func checkBinding(bundle []byte, from, to catalogue.Upstream, incarnation uint64, salt string) error {
 	var b binding
-	if err := json.Unmarshal(bundle, &b); err != nil {
+	if err := syntax.Unmarshal(bundle, &b); err != nil {
 		return oops.With("from", from.Name).Wrapf(err, "decode the exported KV cache")
 	}
 	switch {
