Leave out entries of the daemon's list that name no VM, and use the others

Cause: the list was decoded at once, so that one entry with a field of another type, or an address that is none, cost all others, and VMs that leave went on getting requests. Change: each entry is decoded by itself, with syntax.Unmarshal, and needs its three fields; null is no list.

--- a/relay/upstream/decoders_test.go
+++ b/relay/upstream/decoders_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -29,6 +31,21 @@
 	return err == nil
 }
 
+// lists reports whether an entry of the list is used; those around it are in any case.
+func lists(text string) bool {
+	GinkgoHelper()
+	const sound = `{"name":"%s","address":"10.0.0.1:1","state":"live"}`
+	members, err := upstream.New().List(context.Background(), answering(fmt.Sprintf("["+sound+",%s,"+sound+"]", "before", text, "behind")))
+	Expect(err).NotTo(HaveOccurred())
+	names := []string{}
+	for _, m := range members {
+		names = append(names, m.Name)
+	}
+	Expect(names[0]).To(Equal("before"))
+	Expect(names[len(names)-1]).To(Equal("behind"))
+	return len(names) > 2
+}
+
 // imports reports whether an exported KV cache of one engine is sent to another.
 func imports(text string) bool {
 	imported := false
@@ -45,6 +62,8 @@
 
 // Guards against texts from outside of which a part is used, or something else than they say.
 var _ = Describe("a text from outside", func() {
+	// brackets are the cases that make the text around an entry no JSON.
+	brackets := []string{syntaxtest.Trailing, syntaxtest.Closed, syntaxtest.Torn, syntaxtest.Deep, syntaxtest.DeepValue}
 	optional := []string{syntaxtest.Missing, syntaxtest.Null}
 	for _, decoder := range []struct {
 		name, sound, field, value string
@@ -53,6 +72,7 @@
 		usable, untried []string
 	}{
 		{name: "a load report", sound: `{"incarnation":1,"slots":4,"running":0}`, field: "slots", value: "4", uses: readsLoad, usable: optional, untried: []string{syntaxtest.Large}},
+		{name: "an entry of the list", sound: `{"name":"a","address":"10.0.0.2:1","state":"live"}`, field: "address", value: `"10.0.0.2:1"`, uses: lists, untried: append(brackets, syntaxtest.Large)},
 		{name: "an exported KV cache", sound: `{"salt":"s","model":"m","weights":"w","incarnation":7,"blocks":[]}`, field: "incarnation", value: "7", uses: imports},
 	} {
 		for _, odd := range syntaxtest.Cases(decoder.sound, decoder.field, decoder.value) {
@@ -67,4 +87,11 @@
 			It(outcome+" as "+decoder.name+" if it has "+odd.Name, func() { Expect(decoder.uses(odd.Text)).To(Equal(used)) })
 		}
 	}
+
+	It("is not used as the list if it has another text behind it, closing brackets, or is nested 20,000 deep", func() {
+		for _, text := range []string{`[]{}`, `[]]`, `[]}`, strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000), `{}`, `null`} {
+			_, err := upstream.New().List(context.Background(), answering(text))
+			Expect(err).To(HaveOccurred(), text[:min(len(text), 20)])
+		}
+	})
 })
--- a/relay/upstream/load.go
+++ b/relay/upstream/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/netip"
 	"time"
@@ -62,12 +63,22 @@
 	return load, err
 }
 
-// List fetches the platform's list of live and leaving VMs and records which are leaving.
+// List fetches the platform's list of live and leaving VMs and records which are leaving. An entry that names no VM is left out.
 func (c *Client) List(ctx context.Context, address netip.AddrPort) ([]Member, error) {
-	var members []Member
-	if _, err := c.get(ctx, address, "/list", maxListBytes, &members); err != nil {
+	var entries *[]json.RawMessage
+	if _, err := c.get(ctx, address, "/list", maxListBytes, &entries); err != nil {
 		return nil, err
 	}
+	if entries == nil {
+		return nil, oops.With("address", address).Errorf("read /list: null instead of a list")
+	}
+	var members []Member
+	for _, entry := range *entries {
+		var member Member
+		if syntax.Unmarshal(entry, &member) == nil && member.Name != "" && member.Address.IsValid() && member.State != "" {
+			members = append(members, member)
+		}
+	}
 	leaving := map[netip.AddrPort]bool{}
 	for _, member := range members {
 		leaving[member.Address] = member.State == LeavingState
