Refuse settings with text that isn't valid UTF-8

Cause: hujson takes such bytes, and escapes of half a character, and returns the character that stands for them: a data folder of another name was created, and names of two VMs could become the same one. Change: each text of the file is checked, and the refusal gives line and column.

--- a/relay/settings/parse.go
+++ b/relay/settings/parse.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/tailscale/hujson"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/syntax"
 )
 
 // maxFileBytes is far above the size of any real settings file; it limits what is read if the path is wrong, such as that of a log
@@ -50,6 +52,9 @@
 	if err != nil {
 		return Settings{}, p.syntaxError(err)
 	}
+	if err := p.checkTexts(&root); err != nil {
+		return Settings{}, err
+	}
 	object, ok := root.Value.(*hujson.Object)
 	if !ok {
 		return Settings{}, p.errorAt(root.StartOffset, "", "the file does not contain a JSON object", "put all settings between { and }")
@@ -85,6 +90,16 @@
 	return e
 }
 
+// checkTexts returns an error for the first text that would be read otherwise than it is written.
+func (p *parser) checkTexts(root *hujson.Value) error {
+	for value := range root.All() {
+		if l, ok := value.Value.(hujson.Literal); ok && !syntax.IsText(l) {
+			return p.errorAt(value.StartOffset, "", "the text isn't valid UTF-8", "save the file as UTF-8, without escapes of half a character")
+		}
+	}
+	return nil
+}
+
 func (p *parser) position(offset int) (line, column int) {
 	before := string(p.text[:offset])
 	start := strings.LastIndexByte(before, '\n') + 1
--- a/relay/syntax/check.go
+++ b/relay/syntax/check.go
@@ -36,6 +36,9 @@
 	return s.run(shapeOf(reflect.TypeOf(into)))
 }
 
+// IsText reports whether a literal of JSON is read as it is written: a string must be valid UTF-8, without escapes of half a character.
+func IsText(literal []byte) bool { return utf8.Valid(literal) && !hasHalf(literal) }
+
 // scanners keeps what most texts need, so that a check of a small one allocates nothing.
 var scanners = sync.Pool{New: func() any { return &scanner{open: make([]opened, 0, maxKept), unknown: make([][]byte, 0, maxKept)} }}
 
