Refuse settings that are nested too deeply before they are parsed

Cause: hujson calls itself for each level without a bound. Change: the nesting is counted first, outside texts and comments, and more than 64 levels are refused with line and column. Measured: settings.Parse of 1,048,576 brackets ended the test process before; 4 specs, one of 1,000,000 brackets, pass.

--- a/relay/settings/decoder_test.go
+++ b/relay/settings/decoder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -25,6 +26,20 @@
 		})
 	}
 
+	// Guards against a file that ends the process, which may be running, by the depth of the parser's calls.
+	DescribeTable("is refused with the place if it is nested very deeply", func(levels int, open, closed string) {
+		_, err := settings.Parse("vm.json", []byte(`{"name":`+strings.Repeat(open, levels)+"1"+strings.Repeat(closed, levels)+`}`))
+		Expect(err).To(MatchError(And(HavePrefix("vm.json:1:"), ContainSubstring("levels"))))
+	}, Entry("in lists", 160_000, "[", "]"), Entry("in objects", 160_000, `{"":`, "}"), Entry("in lists without an end", 1_000_000, "[", ""), Entry("in lists between comments", 100_000, "[/*]*/", "]"))
+
+	It("may have brackets in texts and comments", func() {
+		brackets := strings.Repeat("[", 1_000)
+		_, err := settings.Parse("vm.json", []byte(`{"name":"a", /* `+brackets+`*/ "limits":{"queue":7} // `+brackets+"\n}"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = settings.Parse("vm.json", []byte(`{"name":"a\"`+brackets+`"}`))
+		Expect(err).NotTo(MatchError(ContainSubstring("levels")))
+	})
+
 	DescribeTable("may name a data folder with", func(text string, expected bool) {
 		_, err := settings.Parse("vm.json", []byte(`{"name":"a","control":[{"name":"a","address":"127.0.0.1:7300"}],"listeners":{"peers":"127.0.0.1:7300"},"data":"`+text+`"}`))
 		Expect(err == nil).To(Equal(expected), "%v", err)
--- a/relay/settings/parse.go
+++ b/relay/settings/parse.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"slices"
@@ -15,6 +16,9 @@
 // file.
 const maxFileBytes = 1 << 20
 
+// maxLevels is far above the nesting of any settings. It bounds the stack of the parser, which calls itself for each level.
+const maxLevels = 64
+
 // Load reads the settings file at path; an error is an *Error.
 func Load(path string) (Settings, error) {
 	info, err := os.Stat(path)
@@ -48,6 +52,9 @@
 	if len(text) > maxFileBytes {
 		return Settings{}, p.errorAt(0, "", "the settings file is larger than 1 MiB", "shorten it to at most 1 MiB")
 	}
+	if at := deepAt(text); at >= 0 {
+		return Settings{}, p.errorAt(at, "", fmt.Sprintf("the file is nested more than %d levels deep", maxLevels), "nest the settings as their names are, such as times.lease")
+	}
 	root, err := hujson.Parse(text)
 	if err != nil {
 		return Settings{}, p.syntaxError(err)
@@ -68,6 +75,51 @@
 	return p.settings, nil
 }
 
+// deepAt returns the offset from which text is nested more than maxLevels deep, or -1.
+func deepAt(text []byte) int {
+	depth := 0
+	for at := 0; at < len(text); at++ {
+		switch text[at] {
+		case '"', '/':
+			at += skipToken(text[at:])
+		case '[', '{':
+			if depth++; depth > maxLevels {
+				return at
+			}
+		case ']', '}':
+			depth--
+		}
+	}
+	return -1
+}
+
+// skipToken returns the offset of the last byte of the text or comment that JSON begins with.
+func skipToken(json []byte) int {
+	var end string
+	switch {
+	case json[0] == '"':
+		for at := 1; at < len(json); at++ {
+			switch json[at] {
+			case '"':
+				return at
+			case '\\':
+				at++
+			}
+		}
+		return len(json)
+	case bytes.HasPrefix(json, []byte("//")):
+		end = "\n"
+	case bytes.HasPrefix(json, []byte("/*")):
+		end = "*/"
+	default:
+		return 0
+	}
+	if length := bytes.Index(json[2:], []byte(end)); length >= 0 {
+		return 1 + length + len(end)
+	}
+	return len(json)
+}
+
 // parser reads the settings of one file; offsets maps the path of each field to its byte offset in the text.
 type parser struct {
 	file     string
