Check texts from outside with jsontext instead of a scanner of our own

Cause: package syntax read JSON by its brackets and strings in a scanner of its own, where a well-known library does it by the standard.

Change: github.com/go-json-experiment/json/jsontext reads the text and judges its strings; the package keeps the keys of open objects, the names of fields, and the place of an error. A key that is no text is named in the place, and the keys of the place count in the bound of 65,536.

Result: the package passes with the race detector; of its specs three have another place for that reason.

--- a/relay/syntax/check.go
+++ b/relay/syntax/check.go
@@ -3,21 +3,27 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"reflect"
 	"strconv"
 	"sync"
 	"unicode/utf8"
+
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 const (
-	// maxDepth is the nesting beyond which encoding/json reads nothing either.
-	maxDepth = 10_000
-	// maxUnknown bounds the keys that are kept at once because they are the names of no field, and with them the memory of a check.
-	maxUnknown = 1 << 16
+	// maxKeys bounds the keys that are kept of all open objects, and with them the memory of a check.
+	maxKeys = 1 << 16
 	// maxCompared is the number of keys of an object up to which they are compared one by one.
 	maxCompared = 16
+	// maxPooled is the size of the texts whose decoder is used again; that of a large one would keep memory in proportion.
+	maxPooled = 4 << 10
 )
 
+var errTrailing = errors.New("the text goes on behind its value")
+
 // Unmarshal decodes text like json.Unmarshal, and returns an *Error where it would decode it otherwise than it is written; what it has
 // decoded until then must not be used. Values of type json.RawMessage are left to the call that decodes them.
 func Unmarshal(text []byte, into any) error {
@@ -27,252 +33,171 @@
 	return Check(text, into)
 }
 
-// Check returns an *Error for the first place at which json.Unmarshal decodes valid JSON into a value of the type of into otherwise than it
-// is written.
+// Check returns an *Error for the first place at which json.Unmarshal decodes text into a value of the type of into otherwise than it is
+// written.
 func Check(text []byte, into any) error {
-	s := scanners.Get().(*scanner)
-	defer s.free()
-	s.text = text
-	return s.run(shapeOf(reflect.TypeOf(into)))
+	c := checkers.Get().(*checker)
+	if len(text) <= maxPooled {
+		defer checkers.Put(c)
+	}
+	c.reset(text)
+	err := c.checkValue(shapeOf(reflect.TypeOf(into)))
+	if err == nil {
+		err = c.checkEnd()
+	}
+	var fault *Error
+	if err != nil && !errors.As(err, &fault) {
+		return c.errorAt(remedyJSON)
+	}
+	return err
 }
 
 // IsText reports whether a literal of JSON is read as it is written: a string must be valid UTF-8, without escapes of half a character.
-func IsText(literal []byte) bool { return utf8.Valid(literal) && !hasHalf(literal) }
-
-// scanners keeps what most texts need, so that a check of a small one allocates nothing.
-var scanners = sync.Pool{New: func() any { return &scanner{open: make([]opened, 0, maxKept), unknown: make([][]byte, 0, maxKept)} }}
+func IsText(literal []byte) bool { return isPlain(literal) || jsontext.Value(literal).IsValid() }
 
-// maxKept bounds the objects and the keys for which a scanner keeps the room.
-const maxKept = 16
-
-// opened is an object or list whose end hasn't come yet.
-type opened struct {
-	shape *shape
-	// value is the shape of the next value.
-	value  *shape
-	object bool
-	// atKey is set in an object where a key is due.
-	atKey bool
-	// key is the last one of an object, index the position in a list.
-	key   []byte
-	index int
-	// fields has the bits of the fields that were given. The other keys begin at first in the scanner's unknown, and are in set too once
-	// they are many.
-	fields uint64
-	first  int
-	set    map[string]struct{}
+// isPlain reports whether a literal has neither escapes nor bytes beyond ASCII.
+func isPlain(literal []byte) bool {
+	for _, c := range literal {
+		if c == '\\' || c >= utf8.RuneSelf {
+			return false
+		}
+	}
+	return true
 }
 
-// scanner reads valid JSON by its brackets and strings.
-type scanner struct {
-	text []byte
-	at   int
-	open []opened
-	// unknown are the keys of the open objects that are the names of no field.
-	unknown [][]byte
-}
+// checkers keeps what a check of a small text needs.
+var checkers = sync.Pool{New: func() any { return &checker{decoder: jsontext.NewDecoder(new(bytes.Buffer))} }}
 
-// free gives the scanner back, without what was scanned.
-func (s *scanner) free() {
-	if cap(s.open) > maxKept || cap(s.unknown) > maxKept {
-		return
-	}
-	clear(s.open[:cap(s.open)])
-	clear(s.unknown[:cap(s.unknown)])
-	*s = scanner{open: s.open[:0], unknown: s.unknown[:0]}
-	scanners.Put(s)
+// checker reads one text.
+type checker struct {
+	decoder *jsontext.Decoder
+	// keys are those of the open objects.
+	keys []string
 }
 
-func (s *scanner) run(top *shape) error {
-	for s.at < len(s.text) {
-		var err error
-		switch c := s.text[s.at]; c {
-		case '{', '[':
-			err = s.push(top, c == '{')
-		case '}', ']':
-			err = s.pop()
-		case ',':
-			s.next()
-		case '"':
-			err = s.readString()
-		}
-		if err != nil {
-			return err
-		}
-		s.at++
-	}
-	return nil
+func (c *checker) reset(text []byte) {
+	clear(c.keys[:cap(c.keys)])
+	c.keys = c.keys[:0]
+	// The checker finds these itself, so that raw values may have them. A decoder reads a bytes.Buffer without a copy.
+	c.decoder.Reset(bytes.NewBuffer(text), jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
 }
 
-// push opens an object or list.
-func (s *scanner) push(top *shape, object bool) error {
-	if len(s.open) == maxDepth {
-		return s.errorAt(remedyDepth)
-	}
-	if len(s.open) > 0 {
-		top = s.open[len(s.open)-1].value
+// checkEnd returns an error if the text goes on behind its value.
+func (c *checker) checkEnd() error {
+	_, err := c.decoder.ReadToken()
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
-	o := opened{shape: top, object: object, atKey: object, first: len(s.unknown)}
-	if top != nil {
-		o.value = top.element
+	if err == nil {
+		err = errTrailing
 	}
-	s.open = append(s.open, o)
-	return nil
+	return err
 }
 
-// pop closes the last object or list.
-func (s *scanner) pop() error {
-	if len(s.open) == 0 {
-		return s.errorAt(remedyJSON)
+// checkValue reads the next value, which is decoded into a type of shape s.
+func (c *checker) checkValue(s *shape) error {
+	if s != nil && s.raw {
+		return c.decoder.SkipValue()
+	}
+	switch c.decoder.PeekKind() {
+	case '{':
+		return c.checkObject(s)
+	case '[':
+		return c.checkList(s)
+	case '"':
+		_, err := c.readText()
+		return err
 	}
-	last := len(s.open) - 1
-	s.unknown = s.unknown[:s.open[last].first]
-	s.open = s.open[:last]
-	return nil
+	return c.decoder.SkipValue()
 }
 
-// next goes on to the next member of an object or value of a list.
-func (s *scanner) next() {
-	if len(s.open) == 0 {
-		return
+func (c *checker) checkList(s *shape) error {
+	_, err := c.decoder.ReadToken()
+	for err == nil && c.decoder.PeekKind() != ']' {
+		err = c.checkValue(s.ofElement())
 	}
-	o := &s.open[len(s.open)-1]
-	o.atKey = o.object
-	o.index++
+	if err != nil {
+		return err
+	}
+	_, err = c.decoder.ReadToken()
+	return err
 }
 
-// readString reads a key or a text, up to its closing quote.
-func (s *scanner) readString() error {
-	start := s.at + 1
-	ascii, escaped := true, false
-	for s.at++; s.at < len(s.text) && s.text[s.at] != '"'; s.at++ {
-		switch c := s.text[s.at]; {
-		case c == '\\':
-			escaped = true
-			s.at++
-		case c >= utf8.RuneSelf:
-			ascii = false
+func (c *checker) checkObject(s *shape) error {
+	first := len(c.keys)
+	var set map[string]struct{}
+	_, err := c.decoder.ReadToken()
+	for err == nil && c.decoder.PeekKind() != '}' {
+		var literal jsontext.Value
+		if literal, err = c.readText(); err != nil {
+			return err
 		}
+		name, value := s.member(literal)
+		if set, err = c.addKey(name, first, set); err != nil {
+			return err
+		}
+		if value == nil && s != nil {
+			if field := s.fold(name); field != "" {
+				return c.errorAt("write the field in the case of " + strconv.Quote(field))
+			}
+		}
+		err = c.checkValue(value)
 	}
-	if s.at >= len(s.text) {
-		return s.errorAt(remedyJSON)
-	}
-	text := s.text[start:s.at]
-	if len(s.open) == 0 {
-		return s.checkText(text, ascii, escaped)
-	}
-	o := &s.open[len(s.open)-1]
-	switch {
-	case !o.atKey && o.value != nil && o.value.raw, o.shape != nil && o.shape.raw:
-		o.atKey = false
-		return nil
-	case !o.atKey:
-		return s.checkText(text, ascii, escaped)
-	}
-	o.atKey, o.key = false, nil
-	if err := s.checkText(text, ascii, escaped); err != nil {
+	if err != nil {
 		return err
 	}
-	if escaped {
-		text = unescape(text)
-	}
-	o.key = text
-	return s.addKey(o, text)
+	c.keys = c.keys[:first]
+	_, err = c.decoder.ReadToken()
+	return err
 }
 
-func (s *scanner) checkText(text []byte, ascii, escaped bool) error {
-	if !ascii && !utf8.Valid(text) || escaped && hasHalf(text) {
-		return s.errorAt(remedyText)
-	}
-	return nil
-}
-
-// addKey records a key of an object and finds the shape of its value.
-func (s *scanner) addKey(o *opened, key []byte) error {
-	if o.shape != nil && o.shape.fields != nil {
-		o.value = nil
-		if f, ok := o.shape.fields[string(key)]; ok {
-			o.value = f.shape
-			if o.fields&f.bit != 0 {
-				return s.errorAt(remedyTwice)
-			}
-			if o.fields |= f.bit; f.bit != 0 {
-				return nil
-			}
-		} else if name := o.shape.fold(key); name != nil {
-			return s.errorAt("write the field in the case of " + strconv.Quote(string(name)))
-		}
-	}
-	if len(s.unknown) == maxUnknown {
-		return s.errorAt(remedyKeys)
+// addKey records a key of the object whose keys begin at first, and returns their set, which is nil for few.
+func (c *checker) addKey(key string, first int, set map[string]struct{}) (map[string]struct{}, error) {
+	if len(c.keys) == maxKeys {
+		return nil, c.errorAt(remedyKeys)
 	}
-	others := s.unknown[o.first:]
-	s.unknown = append(s.unknown, key)
+	others := c.keys[first:]
+	c.keys = append(c.keys, key)
 	if len(others) < maxCompared {
 		for _, other := range others {
-			if bytes.Equal(other, key) {
-				return s.errorAt(remedyTwice)
+			if other == key {
+				return nil, c.errorAt(remedyTwice)
 			}
 		}
-		return nil
+		return nil, nil
 	}
-	if o.set == nil {
-		o.set = make(map[string]struct{}, 2*len(others))
+	if set == nil {
+		set = make(map[string]struct{}, 2*len(others))
 		for _, other := range others {
-			o.set[string(other)] = struct{}{}
+			set[other] = struct{}{}
 		}
 	}
-	if _, ok := o.set[string(key)]; ok {
-		return s.errorAt(remedyTwice)
+	if _, ok := set[key]; ok {
+		return nil, c.errorAt(remedyTwice)
 	}
-	o.set[string(key)] = struct{}{}
-	return nil
+	set[key] = struct{}{}
+	return set, nil
 }
 
-// unescape returns the text of a string without its escapes.
-func unescape(text []byte) []byte {
-	quoted := make([]byte, 0, len(text)+2)
-	quoted = append(append(append(quoted, '"'), text...), '"')
-	var plain string
-	if json.Unmarshal(quoted, &plain) != nil {
-		return text
+// readText reads a string and returns its literal.
+func (c *checker) readText() (jsontext.Value, error) {
+	literal, err := c.decoder.ReadValue()
+	if err == nil && !IsText(literal) {
+		err = c.errorAt(remedyText)
 	}
-	return []byte(plain)
+	return literal, err
 }
 
-// hasHalf reports whether a string has an escape of one half of a surrogate pair without the other.
-func hasHalf(text []byte) bool {
-	for i := 0; i < len(text); i++ {
-		if text[i] != '\\' {
-			continue
-		}
-		unit, ok := escapedUnit(text[i:])
-		if !ok {
-			// Any other escape has one letter behind the backslash.
-			i++
-			continue
-		}
-		i += unitBytes - 1
-		if unit < 0xd800 || unit > 0xdfff {
-			continue
+// errorAt returns the error of the place that the decoder has reached.
+func (c *checker) errorAt(remedy string) error {
+	var path path
+	depth := 0
+	for name := range c.decoder.StackPointer().Tokens() {
+		depth++
+		kind, _ := c.decoder.StackIndex(depth)
+		if !path.add(name, kind == '[') {
+			break
 		}
-		low, ok := escapedUnit(text[i+1:])
-		if !ok || unit > 0xdbff || low < 0xdc00 || low > 0xdfff {
-			return true
-		}
-		i += unitBytes
-	}
-	return false
-}
-
-// unitBytes is the length of an escaped UTF-16 unit, such as \u00e9.
-const unitBytes = 6
-
-// escapedUnit returns the UTF-16 unit that text begins with as an escape.
-func escapedUnit(text []byte) (uint64, bool) {
-	if len(text) < unitBytes || text[0] != '\\' || text[1] != 'u' {
-		return 0, false
 	}
-	unit, err := strconv.ParseUint(string(text[2:unitBytes]), 16, 16)
-	return unit, err == nil
+	return &Error{Path: path.String(), Remedy: remedy}
 }
--- a/relay/syntax/check_test.go
+++ b/relay/syntax/check_test.go
@@ -93,13 +93,13 @@
 		Entry("a field in a list in another case", `{"list":[{"weight":1}]}`, "list[0].weight", `"Weight"`),
 		Entry("a byte that is no text", "{\"name\":\"a\xff\"}", "name", "UTF-8"),
 		Entry("a byte that is no text in an unknown value", "{\"x\":[1,\"\xc3\"]}", "x[1]", "UTF-8"),
-		Entry("a byte that is no text in a key", "{\"any\":{\"\xed\xa0\x80\":1}}", "any", "UTF-8"),
+		Entry("a byte that is no text in a key", "{\"any\":{\"\xed\xa0\x80\":1}}", `any."\ufffd\ufffd\ufffd"`, "UTF-8"),
 		Entry("the first half of a character", `{"name":"\ud83d"}`, "name", "UTF-8"),
 		Entry("the first half of a character before another escape", `{"name":"\ud83d\u0061"}`, "name", "UTF-8"),
 		Entry("the second half of a character", `{"name":"a\ude00"}`, "name", "UTF-8"),
 		Entry("the halves of a character in the wrong order", `{"name":"\ude00\ud83d"}`, "name", "UTF-8"),
-		Entry("half a character in a key", `{"\ud83d":1}`, "", "UTF-8"),
-		Entry("more keys than it compares", `{"any":{`+numbered(`"k%d":1,`, 70_000)+`"k":1}}`, "any.k65536", "fewer"),
+		Entry("half a character in a key", `{"\ud83d":1}`, `"\ufffd"`, "UTF-8"),
+		Entry("more keys than may be open", `{"any":{`+numbered(`"k%d":1,`, 70_000)+`"k":1}}`, "any.k65535", "fewer"),
 		Entry("a place with odd names", `{"a.b":{"c\n":{"x":1,"x":1}}}`, `"a.b"."c\n".x`, "only once"),
 	)
 
--- a/relay/syntax/error.go
+++ b/relay/syntax/error.go
@@ -1,7 +1,6 @@
 package syntax
 
 import (
-	"bytes"
 	"strconv"
 	"strings"
 )
@@ -24,7 +23,6 @@
 const (
 	remedyTwice = "give each key only once in an object"
 	remedyText  = "write the text as valid UTF-8, without escapes of half a character"
-	remedyDepth = "nest the text less deeply"
 	remedyKeys  = "give an object fewer unknown keys"
 	remedyJSON  = "write valid JSON"
 
@@ -32,38 +30,35 @@
 	maxPathBytes = 200
 )
 
-// errorAt returns the error of the value that the scanner is at.
-func (s *scanner) errorAt(remedy string) error {
-	var path strings.Builder
-	for i := range s.open {
-		if path.Len() > maxPathBytes {
-			path.WriteString("...")
-			break
-		}
-		o := &s.open[i]
-		switch {
-		case !o.object:
-			path.WriteString("[" + strconv.Itoa(o.index) + "]")
-		case o.key == nil:
-		case path.Len() > 0:
-			path.WriteString("." + formatKey(o.key))
-		default:
-			path.WriteString(formatKey(o.key))
-		}
+// path is the text of a path.
+type path struct{ strings.Builder }
+
+// add adds a name, or an index of a list, and reports whether the path may become longer.
+func (p *path) add(name string, index bool) bool {
+	switch {
+	case p.Len() > maxPathBytes:
+		p.WriteString("...")
+		return false
+	case index:
+		p.WriteString("[" + name + "]")
+		return true
+	case p.Len() > 0:
+		p.WriteString(".")
 	}
-	return &Error{Path: path.String(), Remedy: remedy}
+	p.WriteString(formatKey(name))
+	return true
 }
 
 // formatKey quotes keys that could be mistaken for more than a name.
-func formatKey(key []byte) string {
-	text := string(key[:min(len(key), maxPathBytes)])
+func formatKey(key string) string {
+	text := key[:min(len(key), maxPathBytes)]
 	if len(key) > maxPathBytes {
 		text += "..."
 	}
 	isOdd := func(r rune) bool {
 		return r != '_' && r != '-' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
 	}
-	if len(key) == 0 || bytes.ContainsFunc(key, isOdd) {
+	if key == "" || strings.ContainsFunc(key, isOdd) {
 		return strconv.QuoteToASCII(text)
 	}
 	return text
--- a/relay/syntax/shape.go
+++ b/relay/syntax/shape.go
@@ -1,29 +1,28 @@
 package syntax
 
 import (
-	"bytes"
 	"encoding"
 	"encoding/json"
 	"reflect"
 	"strings"
 	"sync"
+
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // shape is what a check has to know of the Go type that a value is decoded into; nil stands for a type whose keys have no meaning here.
 type shape struct {
-	// fields are the fields of a struct by their names in JSON; nil for other types.
-	fields map[string]*field
-	// names are the keys of fields.
-	names [][]byte
+	// fields are a struct's fields by their names in JSON; nil for other types.
+	fields map[string]field
 	// element is the shape of the values of a list or map.
 	element *shape
 	// raw is set for json.RawMessage, which is checked where it is decoded.
 	raw bool
 }
 
+// field is a struct's field with its name in JSON.
 type field struct {
-	// bit is the field's own bit; 0 for those beyond the 64th.
-	bit   uint64
+	name  string
 	shape *shape
 }
 
@@ -54,9 +53,7 @@
 	case t == nil:
 		return nil
 	case t == rawType:
-		raw := &shape{raw: true}
-		raw.element = raw
-		return raw
+		return &shape{raw: true}
 	case reflect.PointerTo(t).Implements(unmarshalerType) || reflect.PointerTo(t).Implements(textType):
 		return nil
 	}
@@ -66,7 +63,7 @@
 			return &shape{element: element}
 		}
 	case reflect.Struct:
-		s := &shape{fields: map[string]*field{}}
+		s := &shape{fields: map[string]field{}}
 		s.addFields(t)
 		return s
 	}
@@ -88,17 +85,44 @@
 		if name == "" {
 			name = f.Name
 		}
-		s.fields[name] = &field{bit: 1 << len(s.names), shape: shapeOf(f.Type)}
-		s.names = append(s.names, []byte(name))
+		s.fields[name] = field{name, shapeOf(f.Type)}
 	}
 }
 
-// fold returns the name of the field that encoding/json would set for a key that is the name of none, or nil.
-func (s *shape) fold(key []byte) []byte {
-	for _, name := range s.names {
-		if bytes.EqualFold(name, key) {
+// ofElement returns the shape of the values of a list or map.
+func (s *shape) ofElement() *shape {
+	if s == nil {
+		return nil
+	}
+	return s.element
+}
+
+// member returns the name of an object's member whose key is a literal, and the shape of its value.
+func (s *shape) member(literal []byte) (string, *shape) {
+	key := literal[1 : len(literal)-1]
+	if !isPlain(key) {
+		if text, err := jsontext.AppendUnquote(nil, literal); err == nil {
+			key = text
+		}
+	}
+	if s == nil {
+		return string(key), nil
+	}
+	if f, ok := s.fields[string(key)]; ok {
+		return f.name, f.shape
+	}
+	return string(key), s.element
+}
+
+// fold returns the name of the field that encoding/json would set for a key that is the name of none, or an empty one.
+func (s *shape) fold(key string) string {
+	if _, ok := s.fields[key]; ok {
+		return ""
+	}
+	for name := range s.fields {
+		if strings.EqualFold(name, key) {
 			return name
 		}
 	}
-	return nil
+	return ""
 }
