Report crashes again until a control VM has them

Cause: a VM reported each crash under a request once. Reports from the time in which the VM, or all control VMs, were cut off were lost, so that the control VMs began to count anew: a request under which three replicas had ended ended five more before its verdict.

Change: a VM keeps its last 64 crashes until a control VM acknowledges them, at most ten minutes, and reports them again each second. Each has an ID, as a report that comes late would else be taken for another crash of the same replica.

A crash that is reported again at growing delays counts once.

--- a/relay/dispatch/quarantine.go
+++ b/relay/dispatch/quarantine.go
@@ -111,10 +111,10 @@
 
 // encodeQuarantine returns the message of a report.
 func encodeQuarantine(r quarantine.Report) *peer.Envelope {
-	m := &peer.Quarantine{Suspects: r.Suspects, Claims: r.Claims, Grants: r.Grants, Checksum: r.Checksum, Query: r.Query, Reply: r.Reply}
+	m := &peer.Quarantine{Suspects: r.Suspects, Claims: r.Claims, Grants: r.Grants, Checksum: r.Checksum, Acknowledged: r.Acknowledged, Query: r.Query, Reply: r.Reply}
 	for _, crash := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.PartCrash{
-			Upstream: crash.Upstream, Parts: crash.Parts, Request: crash.Request, Age: uint32(crash.Age.Milliseconds()), Running: uint32(crash.Running.Milliseconds()),
+			Upstream: crash.Upstream, Parts: crash.Parts, Request: crash.Request, Id: crash.ID, Age: uint32(crash.Age.Milliseconds()), Running: uint32(crash.Running.Milliseconds()),
 		})
 	}
 	for _, answer := range r.Answered {
@@ -129,10 +129,10 @@
 }
 
 func decodeQuarantine(m *peer.Quarantine) quarantine.Report {
-	r := quarantine.Report{Suspects: m.GetSuspects(), Claims: m.GetClaims(), Grants: m.GetGrants(), Checksum: m.GetChecksum(), Query: m.GetQuery(), Reply: m.GetReply()}
+	r := quarantine.Report{Suspects: m.GetSuspects(), Claims: m.GetClaims(), Grants: m.GetGrants(), Checksum: m.GetChecksum(), Acknowledged: m.GetAcknowledged(), Query: m.GetQuery(), Reply: m.GetReply()}
 	for _, crash := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
-			Upstream: crash.GetUpstream(), Parts: crash.GetParts(), Request: crash.GetRequest(),
+			Upstream: crash.GetUpstream(), Parts: crash.GetParts(), Request: crash.GetRequest(), ID: crash.GetId(),
 			Age: time.Duration(crash.GetAge()) * time.Millisecond, Running: time.Duration(crash.GetRunning()) * time.Millisecond,
 		})
 	}
--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -34,20 +34,21 @@
 	maxTrial        = 8 * time.Minute
 	trialTimeout    = 30 * time.Second
 	// checksumInterval is the interval at which judges tell the checksum of their verdicts, and that at which a VM asks again about one
-	// that still differs: its question or the answer may have been lost. repeatInterval is that at which a VM tells the verdicts that it
+	// that still differs, and reports crashes again that no judge has acknowledged: the messages may have been lost. repeatInterval is that at which a VM tells the verdicts that it
 	// passed itself. A VM that has started asks for them each queryInterval until it has an answer, and goes without one after learningTime.
 	checksumInterval = time.Second
 	repeatInterval   = 10 * time.Second
 	queryInterval    = 250 * time.Millisecond
 	learningTime     = 3 * time.Second
-	// maxSuspicions and maxVerdicts bound the memory of a core.
-	maxSuspicions = 4096
-	maxVerdicts   = 256
+	// maxSuspicions, maxVerdicts and maxUnacknowledged bound the memory of a core, the last one also its reports.
+	maxSuspicions     = 4096
+	maxVerdicts       = 256
+	maxUnacknowledged = 64
 	// maxTickInterval is the longest time between two ticks of a VM that has not stood still.
 	maxTickInterval = time.Second
 )
 
-// pendingCrash is a crash of this VM's requests and its time.
+// pendingCrash is a crash of this VM's requests and its time, until a judge has acknowledged it.
 type pendingCrash struct {
 	Crash
 	at time.Duration
@@ -66,8 +67,12 @@
 	// answered is when the parts of recent requests were last answered.
 	answered answers
 	verdicts map[uint64]*verdict
-	// crashes and answeredParts are not reported yet.
+	// crashes are not acknowledged by a judge yet, and unreported is set while one of them was not reported either; reportedAt is when
+	// they were last, lastCrash the ID of the last one. answeredParts are not reported yet.
 	crashes       []pendingCrash
+	unreported    bool
+	reportedAt    time.Duration
+	lastCrash     uint64
 	answeredParts []Answer
 	// asking are the parts and requests about which a judge is about to ask.
 	asking []uint64
@@ -162,7 +167,10 @@
 	if len(crash.Parts) == 0 && crash.Request == 0 {
 		return
 	}
-	c.crashes = append(c.crashes, pendingCrash{crash, now})
+	// The IDs begin with the time, so that those after a restart differ from those before it.
+	c.lastCrash = max(c.lastCrash+1, uint64(now))
+	crash.ID = c.lastCrash
+	c.crashes, c.unreported = append(c.crashes, pendingCrash{crash, now}), true
 	c.suspect(now, crash, "")
 }
 
@@ -224,12 +232,21 @@
 	}
 	c.receiveClaims(now, from, r)
 	c.compare(now, from, r.Checksum)
-	if !c.judge {
+	c.acknowledged(r.Acknowledged)
+	if !c.judge || len(r.Crashes) == 0 {
 		return
 	}
+	last := uint64(0)
 	for _, crash := range r.Crashes {
 		c.suspect(now, crash, from)
+		last = max(last, crash.ID)
 	}
+	c.effects.Outgoing = append(c.effects.Outgoing, Outgoing{To: Sender, Name: from, Report: Report{Acknowledged: last}})
+}
+
+// acknowledged forgets the crashes up to an ID, which a judge has received.
+func (c *Core) acknowledged(id uint64) {
+	c.crashes = slices.DeleteFunc(c.crashes, func(crash pendingCrash) bool { return crash.ID <= id })
 }
 
 // receiveAnswer applies an answer that another VM has seen: one after the first crash ends a suspicion, one after a verdict lifts it.
@@ -272,17 +289,26 @@
 	return effects
 }
 
-// report sends the judges what this VM has seen since the last tick.
+// report sends the judges what this VM has seen since the last tick, and again the crashes that none of them has acknowledged.
 func (c *Core) report(now time.Duration) {
-	if len(c.crashes)+len(c.answeredParts) == 0 {
+	c.crashes = slices.DeleteFunc(c.crashes, func(crash pendingCrash) bool { return now-crash.at >= requestLifetime })
+	due := c.unreported || len(c.crashes) > 0 && now-c.reportedAt >= checksumInterval
+	if !due && len(c.answeredParts) == 0 {
 		return
 	}
 	r := Report{Answered: c.answeredParts}
-	for _, crash := range c.crashes {
-		crash.Age = now - crash.at
-		r.Crashes = append(r.Crashes, crash.Crash)
+	if due {
+		for _, crash := range c.crashes {
+			crash.Age = now - crash.at
+			r.Crashes = append(r.Crashes, crash.Crash)
+		}
+		c.unreported, c.reportedAt = false, now
+	}
+	c.answeredParts, c.crashes = nil, c.crashes[max(0, len(c.crashes)-maxUnacknowledged):]
+	if c.judge {
+		// A judge goes by its own crashes itself.
+		c.crashes = nil
 	}
-	c.crashes, c.answeredParts = nil, nil
 	c.send(Judges, r)
 }
 
--- a/relay/quarantine/report.go
+++ b/relay/quarantine/report.go
@@ -9,6 +9,8 @@
 	Parts    []uint64
 	// Request is the fingerprint of the request, 0 if it has none.
 	Request uint64
+	// ID is the same each time that the crash is reported, and greater than those of the VM's earlier ones; 0 before it is reported.
+	ID uint64
 	// Age is the time since the crash, Running the time from the sending of the requests to the crash.
 	Age, Running time.Duration
 }
@@ -43,6 +45,8 @@
 	// Answered are the last answers to parts under suspicion or on trial, or of which a judge asked.
 	Answered []Answer
 	Verdicts []Verdict
+	// Acknowledged is the ID of the last crash of the receiver that a judge has received, 0 for none: it has the ones before too.
+	Acknowledged uint64
 	// Claims are quarantined requests that the sender wants to try in place of the receiver, Grants those that it may try.
 	Claims, Grants []uint64
 	// Checksum is that of the sender's verdicts, 0 for none.
--- a/relay/quarantine/request.go
+++ b/relay/quarantine/request.go
@@ -49,7 +49,7 @@
 		s = &requestSuspicion{suspicion: suspicion{first: e.at, last: e.at - minCrashInterval}}
 		c.requests[request] = s
 	}
-	if hasEnding(s.endings, e) {
+	if hasEnding(s.endings, e) || reported(s.endings, e) {
 		return
 	}
 	if e.at-s.last >= minCrashInterval || e.sent > s.last {
--- a/relay/quarantine/suspicion.go
+++ b/relay/quarantine/suspicion.go
@@ -25,6 +25,8 @@
 // ending is the end of an upstream's process under a request of the VM that reported it, empty for this one.
 type ending struct {
 	upstream, reporter string
+	// id is the crash's ID at its reporter, by which a report that is repeated is known however late it comes.
+	id uint64
 	// sent is when the request was sent, at when the upstream ended.
 	sent, at time.Duration
 }
@@ -61,6 +63,11 @@
 	return slices.ContainsFunc(list, e.same)
 }
 
+// reported reports whether a crash is in a list because it was reported before.
+func reported(list []ending, e ending) bool {
+	return e.id > 0 && slices.ContainsFunc(list, func(other ending) bool { return e.id == other.id && e.reporter == other.reporter })
+}
+
 // recordAnswer records an answer from before the first crash.
 func (s *suspicion) recordAnswer(at time.Duration) {
 	if !s.known || at > s.answeredAt {
@@ -88,8 +95,11 @@
 // come under suspicion.
 func (c *Core) suspect(now time.Duration, crash Crash, reporter string) {
 	at := now - crash.Age
-	e := ending{upstream: crash.Upstream, reporter: reporter, sent: at - crash.Running, at: at}
+	e := ending{upstream: crash.Upstream, reporter: reporter, id: crash.ID, sent: at - crash.Running, at: at}
 	if v := c.inForce(now, crash.Request); v != nil {
+		if reported(v.endings, e) {
+			return
+		}
 		v.trying = false
 		v.endings = appendEnding(v.endings, e)
 		// Requests that were sent before the verdict are no trial of it.
@@ -114,7 +124,7 @@
 			s = &suspicion{first: at, last: at - minCrashInterval, crashedAt: map[string]time.Duration{}}
 			c.suspicions[part] = s
 		}
-		if hasEnding(s.endings, e) {
+		if hasEnding(s.endings, e) || reported(s.endings, e) {
 			continue
 		}
 		if at-s.last < minCrashInterval && at-crash.Running <= s.last {
