Send no second attempt of a request in quarantine

Cause: a hedged second attempt did not ask the quarantine. A trial of the daemon could end two engines at once, and a request that was sent before the verdict one more after it.

Change: StartHedge allows none while the request, or a part of its prompt, is in quarantine.

--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -330,6 +330,12 @@
 func (d *Dispatcher) hedge(t *Ticket) (*Ticket, bool) {
 	tickets := make(chan *Ticket, 1)
 	d.post(func(now time.Duration) {
+		_, part := d.quarantine.Quarantined(now, t.sharedParts)
+		if _, request := d.quarantine.Quarantined(now, []uint64{t.fingerprint}); part || request {
+			// The first attempt may be the trial, of which there is one at a time.
+			tickets <- nil
+			return
+		}
 		decision, ok := d.core.StartHedge(now, t.id)
 		if !ok {
 			tickets <- nil
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -136,5 +136,6 @@
 // retry budget allows none.
 func (t *Ticket) Fail(failure Failure) (time.Duration, bool) { return t.dispatcher.fail(t, failure) }
 
-// StartHedge returns a ticket for a hedged second attempt, or false if there must be none, as after the first token.
+// StartHedge returns a ticket for a hedged second attempt, or false if there must be none, as after the first token or while the request is
+// in quarantine.
 func (t *Ticket) StartHedge() (*Ticket, bool) { return t.dispatcher.hedge(t) }
--- a/relay/dispatch/wait_test.go
+++ b/relay/dispatch/wait_test.go
@@ -258,6 +258,31 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a trial that ends two engines, and against a second attempt that is sent after the verdict.
+	It("is refused while the request is in quarantine", func() {
+		d := startWith("vm1", 8, 8)
+		hedgeable(d).Cancel()
+		ask := func(id string) *dispatch.Ticket {
+			r := request(id)
+			r.Fingerprint, r.SharedParts = 7, []uint64{crashingPart}
+			return acquired(d, r)
+		}
+		early := ask("early")
+		for i := range 5 {
+			d.RequestCrashed(7, fmt.Sprint("e", i), time.Second)
+		}
+		Eventually(d.Quarantined).WithTimeout(timeout).Should(Equal(1))
+		trial := ask("trial")
+		for _, ticket := range []*dispatch.Ticket{early, trial} {
+			_, ok := ticket.StartHedge()
+			Expect(ok).To(BeFalse())
+		}
+		trial.Finish(1, upstream.Counts{Prompt: 10, Answer: 10})
+		Eventually(d.Quarantined).WithTimeout(timeout).Should(BeZero())
+		_, ok := early.StartHedge()
+		Expect(ok).To(BeTrue())
+	})
+
 	It("is refused after Stop, so that the caller does not wait for ever", func() {
 		d := startWith("vm1", 8, 8)
 		first := hedgeable(d)
--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -134,7 +134,7 @@
 	return 0, true
 }
 
-// Quarantined reports whether one of the parts is in quarantine, without a trial.
+// Quarantined reports whether one of the parts or requests is in quarantine, without a trial.
 func (c *Core) Quarantined(now time.Duration, parts []uint64) (remaining time.Duration, quarantined bool) {
 	for _, part := range parts {
 		if v := c.inForce(now, part); v != nil {
