Know a request by the host of its route

Cause: the fingerprint had the host as the caller wrote it, with its port and in any case, though the route is found without them. A request that named the port of the VM it was sent to counted as another one at each VM, and ended three replicas at each.

Change: the fingerprint has the host of the route.

--- a/relay/forward/placement.go
+++ b/relay/forward/placement.go
@@ -13,7 +13,7 @@
 // PlacementRequest describes one request to the placement function.
 type PlacementRequest struct {
 	ID string
-	// Fingerprint is the same for each request of the client account with this method, host, path, query and body.
+	// Fingerprint is the same for each request of the client account with this method, path, query and body to the route's host.
 	Fingerprint uint64
 	Route       *route.Route
 	Service     *route.Service
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -173,7 +173,8 @@
 	}
 	s.target = callers.Target(s.r)
 	s.lastEventID = s.metadata.LastEventID
-	s.placementRequest.Fingerprint = quarantine.Fingerprint(s.accountName(), s.r.Method, s.r.Host, s.target, s.body)
+	// The caller's own host may differ at each VM, by its port or case.
+	s.placementRequest.Fingerprint = quarantine.Fingerprint(s.accountName(), s.r.Method, strings.ToLower(s.route.Host), s.target, s.body)
 }
 
 // accountName returns the name of the request's client account, or an empty string.
