Try each of several requests at once that are as likely the cause

Cause: a control VM that condemned two requests for the same crashes took the second one for the only cause, since the verdict on the first had ended the suspicion that it was compared with. Its trial was due after 30 s instead of at once: a sound request was refused for that long if its fingerprint was the greater one.

Change: the requests are compared by their crashes as they were before the first verdict.

Result: relay/quarantine "are due at once for both": one of two trials was due after 30 s before, none after.

--- a/relay/quarantine/request.go
+++ b/relay/quarantine/request.go
@@ -110,13 +110,18 @@
 			condemned = append(condemned, request)
 		}
 	}
+	// A verdict ends the suspicion of its request.
+	endings := map[uint64][]ending{}
+	for _, request := range condemned {
+		endings[request] = c.requests[request].endings
+	}
 	for _, request := range condemned {
 		s := c.requests[request]
 		if s == nil {
 			continue
 		}
 		tied := slices.ContainsFunc(condemned, func(other uint64) bool {
-			return other != request && c.requests[other] != nil && sharedEndings(s.endings, c.requests[other].endings) > 0
+			return other != request && sharedEndings(s.endings, endings[other]) > 0
 		})
 		c.condemnRequest(now, request, s, tied || s.inTurn < judgeCrashes)
 	}
--- a/relay/quarantine/trial_test.go
+++ b/relay/quarantine/trial_test.go
@@ -70,6 +70,26 @@
 	})
 })
 
+var _ = Describe("trials of two requests that were there each time replicas ended", func() {
+	tied := func() *fleet {
+		f := newFleet(4, 3)
+		for i := range 3 {
+			for k, request := range []uint64{crashingRequest, soundRequest} {
+				f.crashRequest(f.vms[k], fmt.Sprint("s", i), request)
+			}
+			f.run(400 * time.Millisecond)
+		}
+		f.run(400 * time.Millisecond)
+		return f
+	}
+
+	// Guards against a sound request that waits 30 s for its trial because the other one was judged before it.
+	It("are due at once for both", func() {
+		f := tied()
+		Expect(f.cores["judge0"].Verdicts(f.now)).To(And(HaveLen(2), HaveEach(HaveField("TrialIn", BeZero()))))
+	})
+})
+
 var _ = Describe("trials of a part of prompts", func() {
 	// Guards against trials each 30 s by a VM that judges the crashes of its own trials.
 	It("come at growing intervals also if the control VM makes them itself", func() {
