Try requests with crashes in common one after the other

Cause: two requests that had been there each time replicas ended were tried at the same moment. If both reached one replica, its end counted against both, and the sound one was refused for two minutes, then eight.

Change: the control VM that leaves the trials to others puts off that of a request for two seconds while another one with crashes in common is on trial.

Result: relay/quarantine "are made one after the other", both at one replica when they are admitted at once: the sound request was served in 0 of 10 seconds before, in 5 or more after. relay/quarantine and relay/dispatch pass with the race detector.

--- a/relay/quarantine/request.go
+++ b/relay/quarantine/request.go
@@ -173,6 +173,9 @@
 // AdmitRequest decides whether a request may be sent. A request that is admitted on trial counts as the trial of its verdict.
 func (c *Core) AdmitRequest(now time.Duration, request uint64) Admission {
 	v := c.inForce(now, request)
+	if v != nil {
+		c.postponeTrial(now, v)
+	}
 	switch {
 	case v == nil:
 		return Admission{Admitted: true}
@@ -188,6 +191,20 @@
 	return Admission{Wait: claimInterval, Claimed: true}
 }
 
+// postponeTrial puts off the trial of a request that this VM may try while another one is on trial which was there at the same crashes: if
+// they met at one upstream, the end of it would count against both.
+func (c *Core) postponeTrial(now time.Duration, v *verdict) {
+	if v.Trial != c.name || now < v.trialAt {
+		return
+	}
+	for _, other := range c.verdicts {
+		if other != v && other.tried && now < other.trialAt-trialTimeout+tiedTrial && sharedEndings(v.endings, other.endings) > 0 {
+			v.trialAt = now + tiedTrial
+			return
+		}
+	}
+}
+
 // UnsentRequest records that a request of this VM was not run after all, so that its trial is still to be made.
 func (c *Core) UnsentRequest(now time.Duration, request uint64) {
 	v := c.inForce(now, request)
@@ -218,7 +235,7 @@
 			continue
 		}
 		reply := Report{}
-		if now >= v.trialAt {
+		if c.postponeTrial(now, v); now >= v.trialAt {
 			v.trialAt, v.tried = now+trialTimeout, true
 			reply.Grants = []uint64{request}
 		} else {
--- a/relay/quarantine/trial_test.go
+++ b/relay/quarantine/trial_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/quarantine"
 )
 
 var _ = Describe("trials of a request in quarantine", func() {
@@ -88,6 +90,27 @@
 		f := tied()
 		Expect(f.cores["judge0"].Verdicts(f.now)).To(And(HaveLen(2), HaveEach(HaveField("TrialIn", BeZero()))))
 	})
+
+	// Guards against a sound request that is refused for minutes because its trial is made at the replica that ends under the other one's.
+	It("are made one after the other", func() {
+		f, served := tied(), 0
+		for second := range 10 {
+			crashes, sound := f.admits("vm2", crashingRequest), f.admits("vm3", soundRequest)
+			if crashes {
+				f.cores["vm2"].Crashed(f.now, quarantine.Crash{Upstream: fmt.Sprint("t", second), Request: crashingRequest, Running: 2 * tick})
+			}
+			switch {
+			case sound && crashes:
+				f.cores["vm3"].Crashed(f.now, quarantine.Crash{Upstream: fmt.Sprint("t", second), Request: soundRequest, Running: 2 * tick})
+			case sound:
+				served++
+				f.cores["vm3"].AnsweredRequest(f.now, soundRequest)
+			}
+			f.run(time.Second)
+		}
+		Expect(served).To(BeNumerically(">=", 5))
+		Expect(f.admits("vm0", crashingRequest)).To(BeFalse())
+	})
 })
 
 var _ = Describe("trials of a part of prompts", func() {
