--- a/relay/quarantine/core.go
+++ b/relay/quarantine/core.go
@@ -34,8 +34,9 @@
 	maxTrial        = 8 * time.Minute
 	trialTimeout    = 30 * time.Second
 	// checksumInterval is the interval at which judges tell the checksum of their verdicts, and that at which a VM asks again about one
-	// that still differs, and reports crashes again that no judge has acknowledged: the messages may have been lost. repeatInterval is that at which a VM tells the verdicts that it
-	// passed itself. A VM that has started asks for them each queryInterval until it has an answer, and goes without one after learningTime.
+	// that still differs, and reports crashes again that no judge has acknowledged: the messages may have been lost. repeatInterval is that
+	// at which a VM tells the verdicts that it passed itself. A VM that has started asks for them each queryInterval until it has an
+	// answer, and goes without one after learningTime.
 	checksumInterval = time.Second
 	repeatInterval   = 10 * time.Second
 	queryInterval    = 250 * time.Millisecond
