Send commands in progress to a new leader as soon as it is known

Callers saw: a change that was sent while the leader's disk became full stayed unanswered for 3.5 s, the longest that a control VM waits, though the control VM that had it was elected leader 0.8 s after the call and the two others ran all the while.

Cause: a VM resends a command after 0.5, 1, 2 and 4 s, each time to the next control VM in turn. What it learns of a new leader in between, from its lease, a redirect or its own log, was used for new commands only, and the core's knowledge of the leader not at all. A resend that meets the control VM that is down is lost, and the next one comes after twice the time.

Evidence: the log of three control VMs in one process has the leader elected 0.8 s after the call and nothing committed for 2.7 s, until the operator's second call. The order of the resends was read in the code, not logged. The test without the change shows the same.

Change: a command is sent again when the presumed leader is not the one that it was sent to last, and a control VM presumes the leader that its core has learned of. It does so once for each leader, since the core of a VM that is no longer a voter may name an old one for ever. The intervals stay.

--- a/relay/control/node.go
+++ b/relay/control/node.go
@@ -94,7 +94,9 @@
 }
 
 type submission struct {
-	command        []byte
+	command []byte
+	// leader is the presumed leader to which the command was sent last; empty if it was sent to others only.
+	leader         string
 	resendAt       time.Duration
 	resendInterval time.Duration
 }
@@ -293,18 +295,26 @@
 
 func (n *Node) sendSubmission(id uint64, s *submission) {
 	if to := n.target(); to != "" {
+		if n.leader != "" {
+			s.leader = n.leader
+		}
 		n.send(to, &peer.Envelope{Body: &peer.Envelope_Submit{Submit: &peer.Submit{Id: id, Boot: n.boot, Command: s.command}}})
 	}
 }
 
+// resendDueSubmissions sends the commands whose interval has passed to the next control VM, and all others to a new leader at once.
 func (n *Node) resendDueSubmissions() {
 	for _, id := range n.submissionIDs() {
 		s := n.submissions[id]
-		if n.at.Now < s.resendAt {
+		switch {
+		case n.leader != "" && n.leader != s.leader:
+			// Earlier messages may have reached no leader. The interval stays, since stale redirects could change the leader all the time.
+		case n.at.Now < s.resendAt:
 			continue
+		default:
+			n.leader = ""
+			s.resendInterval = min(2*s.resendInterval, maxResendInterval)
 		}
-		n.leader = ""
-		s.resendInterval = min(2*s.resendInterval, maxResendInterval)
 		s.resendAt = n.at.Now + s.resendInterval
 		n.sendSubmission(id, s)
 	}
--- a/relay/control/voter.go
+++ b/relay/control/voter.go
@@ -27,8 +27,10 @@
 	// founding is the first configuration, proposed by a leader while none is committed; nil means none.
 	founding *configuration.Command
 
-	leaderSince    time.Duration
-	isLeader       bool
+	leaderSince time.Duration
+	isLeader    bool
+	// elected is the leader that the core knew last; empty for none.
+	elected        string
 	applied        uint64
 	proposals      map[uint64]proposal
 	pendingChanges []pendingChange
@@ -136,6 +138,7 @@
 // new leader.
 func (n *Node) updateRole() {
 	v := n.voter
+	n.updateElected(v.core.Leader().Name)
 	isLeader := v.core.Role() == quorum.Leader
 	if isLeader == v.isLeader {
 		return
@@ -155,6 +158,15 @@
 	v.proposals, v.pendingChanges = map[uint64]proposal{}, nil
 }
 
+// updateElected presumes the leader that the core has learned of. It does so once, since the core of a VM that is no longer a voter
+// may know an old leader for ever.
+func (n *Node) updateElected(name string) {
+	if name != "" && name != n.voter.elected {
+		n.leader, n.leaseRepliedAt = name, n.at.Now
+	}
+	n.voter.elected = name
+}
+
 func (n *Node) apply(entry quorum.Entry) {
 	v := n.voter
 	v.applied = entry.Index
