Test control VMs whose disks have no room one after another

Operators and a reader call all control VMs throughout. Then each control VM has to confirm a change within 8 s, which is 4 s to catch up and 4 s for a confirmation; no read may be older than a confirmed change, all VMs must act on the newest one, and changes must be confirmed by each pair of control VMs. relay/control/disks_test.go draws order, lengths and kinds over simulated VMs, whose installed configuration can't be saved either.

Nothing stays unanswered for good.

--- a/relay/control/control_suite_test.go
+++ b/relay/control/control_suite_test.go
@@ -17,11 +17,13 @@
 }
 
 // seeds returns the seeds 1 to 25; CHICORY_SEED selects one seed instead, and CHICORY_SEEDS sets their number.
-func seeds() []uint64 {
+func seeds() []uint64 { return seedsOr(25) }
+
+// seedsOr is seeds with another number of seeds unless CHICORY_SEEDS sets it.
+func seedsOr(count uint64) []uint64 {
 	if one, err := strconv.ParseUint(os.Getenv("CHICORY_SEED"), 10, 64); err == nil {
 		return []uint64{one}
 	}
-	count := uint64(25)
 	if n, err := strconv.ParseUint(os.Getenv("CHICORY_SEEDS"), 10, 64); err == nil {
 		count = n
 	}
--- a/relay/control/simulation_test.go
+++ b/relay/control/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -23,13 +24,20 @@
 	// voters is the number of VMs that are control VMs.
 	voters = 3
 	vms    = 6
+	// restartDelay is the time after which a process that has ended by itself starts again.
+	restartDelay = 300 * time.Millisecond
 )
 
 // vm is a simulated VM; volume and saved survive its restarts.
 type vm struct {
-	name        string
-	clockRate   float64
-	volume      *journal.Volume
+	name      string
+	clockRate float64
+	volume    *journal.Volume
+	// disk is the volume, which may be without room; its fault is noRoom.
+	disk   *journal.FaultyDisk
+	noRoom bool
+	// restartAt is when the process starts again after it has ended by itself.
+	restartAt   time.Duration
 	saved       []byte
 	node        *control.Node
 	bootedAt    time.Duration
@@ -74,6 +82,7 @@
 		v := &vm{name: fmt.Sprintf("vm%d", i), clockRate: 0.99 + 0.02*s.random.Float64()}
 		if i < voters {
 			v.volume = journal.NewVolume()
+			v.disk = journal.NewFaultyDisk(v.volume.Disk)
 			Expect(control.Bootstrap(v.volume.Disk, v.name, s.names(voters))).To(Succeed())
 		}
 		s.vms = append(s.vms, v)
@@ -105,15 +114,20 @@
 	}
 	if v.volume != nil {
 		voter, _, err := control.Open(control.OpenOptions{
-			Name: v.name, Controls: s.names(voters), Disk: v.volume.Disk, Random: s.random.Uint64,
+			Name: v.name, Controls: s.names(voters), Disk: v.disk.Disk, Random: s.random.Uint64,
 			ElectionTimeout: time.Second, LeaseTiming: lease.DefaultTiming, OrderTransit: 5 * time.Second, Founding: founding(),
 		})
-		Expect(err).NotTo(HaveOccurred())
+		if s.endWithoutRoom(v, err) {
+			return
+		}
 		if v.saved != nil {
 			Expect(installed.Load(v.saved)).To(Succeed())
 		}
 		Expect(installed.Version()).To(BeNumerically(">=", v.installedVersion), "the data folder kept the installed version")
 		options = append(options, control.WithVoter(voter), control.WithInstalled(installed, func(data []byte) error {
+			if v.noRoom {
+				return syscall.ENOSPC
+			}
 			v.saved = data
 			return nil
 		}))
@@ -142,6 +156,21 @@
 	}
 }
 
+// endWithoutRoom ends a VM's process after an error of its disk, which must be without room, and reports whether there was one. The
+// process starts again if the test restarts it. A kernel may drop what a failed sync has left unwritten, as a loss of power does.
+func (s *simulation) endWithoutRoom(v *vm, err error) bool {
+	if err == nil {
+		return false
+	}
+	Expect(err).To(MatchError(syscall.ENOSPC))
+	Expect(v.noRoom).To(BeTrue(), "the disk of %s has room", v.name)
+	v.node, v.calls, v.restartAt = nil, nil, s.now+restartDelay
+	if s.random.IntN(2) == 0 {
+		v.volume.Crash(s.random)
+	}
+	return true
+}
+
 // wipe erases the disk of a VM that is down.
 func (s *simulation) wipe(v *vm) {
 	v.volume.Wipe()
@@ -198,7 +227,9 @@
 // handleInput performs the effects of one input and checks that the installed version never decreases.
 func (s *simulation) handleInput(v *vm, input func() (control.Effects, error)) {
 	effects, err := input()
-	Expect(err).NotTo(HaveOccurred())
+	if s.endWithoutRoom(v, err) {
+		return
+	}
 	for _, out := range effects.Send {
 		s.transmit(v.name, out)
 	}
--- a/relay/control/workload_test.go
+++ b/relay/control/workload_test.go
@@ -180,6 +180,9 @@
 
 func (c *callers) tick(v *vm) {
 	for _, b := range v.calls {
+		if v.node == nil {
+			return
+		}
 		if b.started && !b.core.Done() && c.simulation.now >= b.answerDue && b.answerDue > 0 {
 			b.answerDue = 0
 			if c.simulation.random.IntN(8) == 0 {
@@ -218,6 +221,10 @@
 func (c *callers) step(v *vm, b *call, event booking.Event) {
 	s := c.simulation
 	for _, effect := range b.core.Step(s.clock(v), event) {
+		if v.node == nil {
+			// The process has ended at the effect before.
+			return
+		}
 		switch effect.Kind {
 		case booking.SendClaim, booking.SendComplete, booking.SendRelease:
 			c.attempts++
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -54,14 +54,14 @@
 // initialises the replicated log: each seed writes the same initial state with incarnation 1, in any order, and can repeat an
 // interrupted attempt, since a VM has cast no vote before its identity is durable. Any other VM with an empty data folder gets a
 // new incarnation and votes only once the other voters have admitted it.
-func newVoter(s settings.Settings, logger log.Interface) (*control.Voter, error) {
+func newVoter(s settings.Settings, openDisk diskOpener, logger log.Interface) (*control.Voter, error) {
 	if s.Data == "" {
 		return nil, nil
 	}
 	if err := os.MkdirAll(s.Data, 0o700); err != nil {
 		return nil, oops.Hint("make the data folder writable").Wrapf(err, "data")
 	}
-	disk := journal.Folder(s.Data)
+	disk := openDisk(s.Data)
 	names := seedNames(s)
 	if s.Discovered.First && slices.Contains(names, s.Name) {
 		initialised, err := journal.Bootstrapped(disk)
--- a/relay/vm/run.go
+++ b/relay/vm/run.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"github.com/chicoryrelay/chicoryrelay/coord/journal"
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/logbook"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
@@ -25,6 +26,17 @@
 	pruneInterval = 5 * time.Second
 )
 
+// diskOpener gives access to a data folder.
+type diskOpener func(folder string) journal.Disk
+
+// Option changes how a VM is started.
+type Option func(*diskOpener)
+
+// WithDisk sets the function that gives access to the data folder of a control VM; the default is journal.Folder.
+func WithDisk(open func(folder string) journal.Disk) Option {
+	return func(o *diskOpener) { *o = open }
+}
+
 // VM is a running VM.
 type VM struct {
 	app         *fx.App
@@ -36,8 +48,12 @@
 
 // Start starts a VM from a settings file and returns once its listeners are open; the error is that of a component that could not
 // start.
-func Start(path string, adapter Adapter, output io.Writer) (*VM, error) {
+func Start(path string, adapter Adapter, output io.Writer, options ...Option) (*VM, error) {
 	reload := newReloadSignals()
+	openDisk := diskOpener(journal.Folder)
+	for _, option := range options {
+		option(&openDisk)
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return nil, err
@@ -50,7 +66,7 @@
 	v.log = (&log.Logger{Handler: v.handler, Level: level}).WithField("vm", s.Name)
 	v.log.WithFields(log.Fields{"centre": s.Centre, "first": s.Discovered.First, "seeds": len(s.Discovered.Seeds), "data": s.Data}).Info("start")
 	v.app = fx.New(
-		fx.Supply(s, settingsFile(path), reload, adapter, fx.Annotate(v.log, fx.As(new(log.Interface)))),
+		fx.Supply(s, settingsFile(path), reload, adapter, openDisk, fx.Annotate(v.log, fx.As(new(log.Interface)))),
 		fx.Provide(
 			newPauses, newPool, newBudget, newGuard, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newSilence, newAccountRates, newForwarder, newCounters, newOrderSender, newOperators,
 		),
@@ -68,6 +84,9 @@
 	return v, nil
 }
 
+// Failed returns a channel that receives a value once a component has failed, so that the VM must be stopped.
+func (v *VM) Failed() <-chan fx.ShutdownSignal { return v.app.Wait() }
+
 // Stop shuts the VM down gracefully; the error is that of a failed data folder, or else of the shutdown.
 func (v *VM) Stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), v.stopTimeout)
@@ -95,7 +114,7 @@
 	var cause os.Signal
 	select {
 	case cause = <-stop:
-	case shutdown := <-v.app.Wait():
+	case shutdown := <-v.Failed():
 		cause = shutdown.Signal
 	}
 	v.log.WithField("signal", cause.String()).Info("stop")
