--- a/coord/journal/fault.go
+++ b/coord/journal/journaltest/fault.go
@@ -1,9 +1,11 @@
-package journal
+package journaltest
 
 import (
 	"errors"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/chicoryrelay/chicoryrelay/coord/journal"
 )
 
 // Fault is what a FaultyDisk does with writes.
@@ -22,13 +24,13 @@
 
 // FaultyDisk is a disk for tests that has no room while a fault is set; SetFault and Refused may be called from any goroutine.
 type FaultyDisk struct {
-	Disk
+	journal.Disk
 	fault   atomic.Int32
 	refused atomic.Int64
 }
 
 // NewFaultyDisk returns a FaultyDisk that stores its files on the given disk.
-func NewFaultyDisk(disk Disk) *FaultyDisk {
+func NewFaultyDisk(disk journal.Disk) *FaultyDisk {
 	f := &FaultyDisk{Disk: disk}
 	f.Write = func(name string, data []byte) error { return f.write(name, data, disk.Write) }
 	f.Append = func(name string, data []byte) error { return f.write(name, data, disk.Append) }
--- a/relay/control/disks_test.go
+++ b/relay/control/disks_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chicoryrelay/chicoryrelay/coord/journal"
+	"github.com/chicoryrelay/chicoryrelay/coord/journal/journaltest"
 )
 
 // diskTurns takes the room of the control VMs' disks one after another, never of two at once, and restarts the processes that end.
@@ -41,7 +41,7 @@
 	d.turns++
 	d.full = d.choose()
 	d.full.noRoom = true
-	d.full.disk.SetFault([]journal.Fault{journal.Full, journal.ShortWrites, journal.FailedSyncs}[d.random.IntN(3)])
+	d.full.disk.SetFault([]journaltest.Fault{journaltest.Full, journaltest.ShortWrites, journaltest.FailedSyncs}[d.random.IntN(3)])
 	d.changeAt = s.now + time.Second + time.Duration(d.random.Int64N(int64(6*time.Second)))
 }
 
@@ -56,7 +56,7 @@
 func (d *diskTurns) setRoom() {
 	if d.full != nil {
 		d.full.noRoom = false
-		d.full.disk.SetFault(journal.NoFault)
+		d.full.disk.SetFault(journaltest.NoFault)
 		d.full = nil
 	}
 }
--- a/relay/control/simulation_test.go
+++ b/relay/control/simulation_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicoryrelay/chicoryrelay/coord/configuration"
 	"github.com/chicoryrelay/chicoryrelay/coord/journal"
+	"github.com/chicoryrelay/chicoryrelay/coord/journal/journaltest"
 	"github.com/chicoryrelay/chicoryrelay/coord/lease"
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
@@ -34,7 +35,7 @@
 	clockRate float64
 	volume    *journal.Volume
 	// disk is the volume, which may be without room; its fault is noRoom.
-	disk   *journal.FaultyDisk
+	disk   *journaltest.FaultyDisk
 	noRoom bool
 	// restartAt is when the process starts again after it has ended by itself.
 	restartAt   time.Duration
@@ -82,7 +83,7 @@
 		v := &vm{name: fmt.Sprintf("vm%d", i), clockRate: 0.99 + 0.02*s.random.Float64()}
 		if i < voters {
 			v.volume = journal.NewVolume()
-			v.disk = journal.NewFaultyDisk(v.volume.Disk)
+			v.disk = journaltest.NewFaultyDisk(v.volume.Disk)
 			Expect(control.Bootstrap(v.volume.Disk, v.name, s.names(voters))).To(Succeed())
 		}
 		s.vms = append(s.vms, v)
