Refuse a document of the own format without a version

Cause: a missing version was read as 0, the number of no desired state: the document was acknowledged and changed nothing. Change: version is required, as in the platform's documents. The odd texts of syntaxtest are tried on the own format as well.

--- a/relay/route/codec.go
+++ b/relay/route/codec.go
@@ -55,7 +55,7 @@
 }
 
 type document struct {
-	Version uint64 `json:"version"`
+	Version *uint64 `json:"version"`
 	Routes  []struct {
 		Name      string         `json:"name"`
 		Host      string         `json:"host"`
@@ -128,7 +128,10 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return nil, &Invalid{Field: "document", Remedy: "send exactly one JSON document, without data after it"}
 	}
-	s := &State{Number: d.Version, Limits: Limits{Headers: d.Limits.Headers, Body: d.Limits.Body, Header: time.Duration(d.Limits.Header), Idle: time.Duration(d.Limits.Idle)}}
+	if d.Version == nil {
+		return nil, &Invalid{Field: "document", Remedy: "set the version"}
+	}
+	s := &State{Number: *d.Version, Limits: Limits{Headers: d.Limits.Headers, Body: d.Limits.Body, Header: time.Duration(d.Limits.Header), Idle: time.Duration(d.Limits.Idle)}}
 	for _, r := range d.Routes {
 		out := Route{
 			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind, Timeout: time.Duration(r.Timeout), Target: time.Duration(r.Target),
--- a/relay/route/route_test.go
+++ b/relay/route/route_test.go
@@ -1,6 +1,8 @@
 package route_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"os"
@@ -12,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/route"
+	"github.com/chicoryrelay/chicoryrelay/relay/syntax/syntaxtest"
 )
 
 const document = `{
@@ -160,7 +163,28 @@
 	)
 })
 
+// compact returns a document without white space.
+func compact(text string) string {
+	var out bytes.Buffer
+	if err := json.Compact(&out, []byte(text)); err != nil {
+		panic(err)
+	}
+	return out.String()
+}
+
 var _ = Describe("a document of the desired state", func() {
+	// Guards against documents of which a part is used, or something else than they say. Unknown fields are refused.
+	for _, odd := range syntaxtest.Cases(compact(document), "version", "7") {
+		outcome := "is refused"
+		if odd.Name == syntaxtest.Sound {
+			outcome = "is accepted"
+		}
+		It(outcome+" if it has "+odd.Name, func() {
+			_, err := decode(odd.Text)
+			Expect(err == nil).To(Equal(odd.Name == syntaxtest.Sound), "%v", err)
+		})
+	}
+
 	It("is accepted if it is the example of the manual", func() {
 		page, err := os.ReadFile("../../docs/routes.md")
 		Expect(err).NotTo(HaveOccurred())
