--- a/relay/upstream/load.go
+++ b/relay/upstream/load.go
@@ -72,13 +72,7 @@
 	if entries == nil {
 		return nil, oops.With("address", address).Errorf("read /list: null instead of a list")
 	}
-	var members []Member
-	for _, entry := range *entries {
-		var member Member
-		if syntax.Unmarshal(entry, &member) == nil && member.Name != "" && member.Address.IsValid() && member.State != "" {
-			members = append(members, member)
-		}
-	}
+	members := decodeMembers(*entries)
 	leaving := map[netip.AddrPort]bool{}
 	for _, member := range members {
 		leaving[member.Address] = member.State == LeavingState
@@ -89,6 +83,18 @@
 	return members, nil
 }
 
+// decodeMembers returns the VMs of the entries that name one.
+func decodeMembers(entries []json.RawMessage) []Member {
+	var members []Member
+	for _, entry := range entries {
+		var member Member
+		if syntax.Unmarshal(entry, &member) == nil && member.Name != "" && member.Address.IsValid() && member.State != "" {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
 // get reads a JSON document of at most limit bytes and returns the header of its response.
 func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, limit int64, into any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
