--- a/relay/syntax/check_test.go
+++ b/relay/syntax/check_test.go
@@ -161,7 +161,7 @@
 			start := processorTime()
 			allocated := allocatedBy(func() { _ = syntax.Check([]byte(text), new(target)) })
 			Expect(allocated).To(BeNumerically("<=", 8*len(text)+8<<20))
-			Expect(processorTime()-start).To(BeNumerically("<", 10*time.Second))
+			Expect(processorTime() - start).To(BeNumerically("<", 10*time.Second))
 		},
 		Entry("a text of 10 MB", `{"name":"`+strings.Repeat("a", 10<<20)+`"}`),
 		Entry("a text of escapes", `{"name":"`+strings.Repeat(`\u00e9`, 1<<19)+`"}`),
