Log the software version of upstreams and the attempt that a stream resumes

The lines of a send, of an answer and of a take-up named no software version, so that the hypotheses of streams that changed the version could not be told apart. The platform's list has the version of each upstream; it is now kept in the directory and on the leader's board, and stands in the lines of placements, attempts and changed upstreams beside the attempt that a take-up names. No decision uses it yet.

--- a/relay/directory/codec.go
+++ b/relay/directory/codec.go
@@ -19,7 +19,7 @@
 		u := &upstreams[i]
 		entry := &peer.BoardUpstream{
 			Id: u.ID, Service: u.Service, Address: u.Address.String(), Centre: u.Centre, Slots: uint32(u.Slots), Leaving: u.Leaving,
-			Cold: uint32(u.WarmUp / warmUpRounding * warmUpRounding / time.Millisecond), Loading: u.Loading,
+			Cold: uint32(u.WarmUp / warmUpRounding * warmUpRounding / time.Millisecond), Loading: u.Loading, Software: u.Software,
 		}
 		if !u.StartedAt.IsZero() {
 			entry.Born = u.StartedAt.UnixMilli()
@@ -53,7 +53,7 @@
 		}
 		u := Upstream{
 			ID: entry.GetId(), Service: entry.GetService(), Address: address, Centre: entry.GetCentre(), Slots: int(entry.GetSlots()),
-			Leaving: entry.GetLeaving(), WarmUp: time.Duration(entry.GetCold()) * time.Millisecond, Loading: entry.GetLoading(),
+			Leaving: entry.GetLeaving(), WarmUp: time.Duration(entry.GetCold()) * time.Millisecond, Loading: entry.GetLoading(), Software: entry.GetSoftware(),
 		}
 		if entry.GetBorn() > 0 {
 			u.StartedAt = time.UnixMilli(entry.GetBorn())
--- a/relay/directory/upstream.go
+++ b/relay/directory/upstream.go
@@ -20,6 +20,8 @@
 	Address netip.AddrPort
 	Centre  string
 	Slots   int
+	// Software is the version of the software that the upstream runs, empty if unknown.
+	Software string
 	// Leaving is set for upstreams that get no new requests because they are about to stop.
 	Leaving bool
 	// WarmUp is the time for which the upstream is still slow after its start.
--- a/relay/forward/dialect.go
+++ b/relay/forward/dialect.go
@@ -27,6 +27,9 @@
 	PromptTokens, MaxAnswerTokens, EstimatedAnswerTokens int
 	// LastEventID is the ID of the last event that the caller received; empty for a new stream.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of a stream that is resumed; empty if it is not given, or
+	// more than once.
+	Resumes string
 }
 
 // UpstreamMetadata is the metadata that the relay adds to a request for one upstream.
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -444,7 +444,7 @@
 func (s *session) logAttempt(p *Placement, event string, status int, err error) {
 	entry := s.f.log.WithFields(log.Fields{
 		"request": s.metadata.ID, "upstream": p.Upstream.ID, "service": p.Upstream.Service, "send": s.sends, "runs": s.runs, "status": status,
-		"age": s.f.now().Sub(s.arrived), "weights": p.Weights, "body": s.bodyBytes, "sent": s.sentBytes,
+		"age": s.f.now().Sub(s.arrived), "weights": p.Weights, "software": p.Upstream.Software, "body": s.bodyBytes, "sent": s.sentBytes,
 		"print": fmt.Sprintf("%016x", s.placementRequest.Fingerprint), "attempt": s.f.now().Sub(s.sentAt),
 	})
 	if s.metadata.Model != "" {
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -244,7 +244,7 @@
 		return nil, err
 	}
 	p.log.WithFields(log.Fields{
-		"request": r.ID, "upstream": u.ID, "weights": weights, "prompt": r.Metadata.PromptTokens, "cached": ticket.CachedTokens, "expected": ticket.ExpectedTTFT, "fetch": ticket.FetchFrom.Name, "save": ticket.SaveTo.Name, "route": r.Route.Name, "age": time.Since(r.Arrived), "failed": len(r.FailedUpstreams),
+		"request": r.ID, "upstream": u.ID, "weights": weights, "software": u.Software, "resumes": r.Metadata.Resumes, "prompt": r.Metadata.PromptTokens, "cached": ticket.CachedTokens, "expected": ticket.ExpectedTTFT, "fetch": ticket.FetchFrom.Name, "save": ticket.SaveTo.Name, "route": r.Route.Name, "age": time.Since(r.Arrived), "failed": len(r.FailedUpstreams),
 	}).Info("placed")
 	var fetch netip.AddrPort
 	if ticket.FetchFrom.Name != "" {
@@ -382,7 +382,7 @@
 		return nil, outcome.Refuse(outcome.NoUpstream, "no replica of the service takes work now")
 	}
 	u := list.Find(id)
-	p.log.WithFields(log.Fields{"request": r.ID, "upstream": id, "candidates": len(candidates), "age": time.Since(r.Arrived), "failed": len(r.FailedUpstreams)}).Info("placed")
+	p.log.WithFields(log.Fields{"request": r.ID, "upstream": id, "software": u.Software, "candidates": len(candidates), "age": time.Since(r.Arrived), "failed": len(r.FailedUpstreams)}).Info("placed")
 	settle := func(apply func(now time.Duration)) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -130,11 +130,11 @@
 	for i := range after.Upstreams {
 		u := &after.Upstreams[i]
 		old := before.Find(u.ID)
-		if old != nil && old.Leaving == u.Leaving && old.Loading == u.Loading && old.StartedAt.Equal(u.StartedAt) && equalModels(old.Models, u.Models) && old.Address == u.Address {
+		if old != nil && old.Leaving == u.Leaving && old.Loading == u.Loading && old.StartedAt.Equal(u.StartedAt) && equalModels(old.Models, u.Models) && old.Address == u.Address && old.Software == u.Software {
 			continue
 		}
 		entry := s.log.WithFields(log.Fields{
-			"upstream": u.ID, "service": u.Service, "address": u.Address, "centre": u.Centre, "leaving": u.Leaving, "loading": u.Loading, "source": source,
+			"upstream": u.ID, "service": u.Service, "address": u.Address, "centre": u.Centre, "leaving": u.Leaving, "loading": u.Loading, "software": u.Software, "source": source,
 		})
 		for _, m := range u.Models {
 			entry = entry.WithField("weights", m.Weights)
@@ -157,7 +157,7 @@
 	}
 	for i := range a {
 		x, y := a[i], b[i]
-		if x.ID != y.ID || x.Address != y.Address || x.Leaving != y.Leaving || x.Loading != y.Loading || x.Service != y.Service ||
+		if x.ID != y.ID || x.Address != y.Address || x.Leaving != y.Leaving || x.Loading != y.Loading || x.Service != y.Service || x.Software != y.Software ||
 			x.Slots != y.Slots || !x.StartedAt.Equal(y.StartedAt) || !equalModels(x.Models, y.Models) {
 			return false
 		}
