Bind requests to a software version in the routing core

A stream may go on only at the software version that began it, and the core could not be told so. A request can now name a version: only upstreams of that version are candidates, homes or probes, also once it has waited in the queue, and it is refused at once if none of them takes requests. The replicas of plain services are filtered alike. No request names a version yet.

--- a/relay/catalogue/objects.go
+++ b/relay/catalogue/objects.go
@@ -44,6 +44,8 @@
 	Model      string         `json:"model,omitempty"`
 	Adapter    string         `json:"adapter,omitempty"`
 	Weights    string         `json:"weights,omitempty"`
+	// Software is the version of the software that the upstream runs; a stream goes on only at the version that began it.
+	Software string `json:"software,omitempty"`
 	// Role is RolePrefill, RoleDecode or RoleBoth; empty leaves the engine's own role unchanged.
 	Role string `json:"role,omitempty"`
 	// Slots is the largest number of requests that the engine runs in one batch.
--- a/relay/directory/directory_test.go
+++ b/relay/directory/directory_test.go
@@ -73,7 +73,7 @@
 	It("carries all fields that other VMs need, and has equal checksums for equal sets only", func() {
 		list := []directory.Upstream{engine("e1", 3), engine("e2", 4)}
 		list[1].Leaving, list[1].Loading = true, true
-	list[0].Software, list[1].Software = "v1", "v1.1"
+		list[0].Software, list[1].Software = "v1", "v1.1"
 		board := directory.Encode(list)
 		Expect(directory.Decode(board)).To(Equal(list))
 		Expect(directory.Encode(list).GetChecksum()).To(Equal(board.GetChecksum()))
--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -277,7 +277,7 @@
 		ID: request.ID, Account: request.Account.Name, Scope: request.Scope, Urgency: request.Urgency, Assistant: request.Assistant.Name,
 		Model: request.Assistant.Model, Adapter: request.Assistant.Adapter, Weights: request.Assistant.Weights,
 		Levels: request.Levels, Parts: request.Parts, TargetTTFT: request.TargetTTFT, PromptTokens: request.PromptTokens, AnswerTokens: request.AnswerTokens,
-		Idempotent: request.Idempotent, Regions: request.Account.Regions, Only: request.Only, Exclude: request.FailedUpstreams, Attempt: len(request.FailedUpstreams),
+		Idempotent: request.Idempotent, Regions: request.Account.Regions, Only: request.Only, Software: request.Software, Exclude: request.FailedUpstreams, Attempt: len(request.FailedUpstreams),
 	}
 	if request.Pinned != nil {
 		r.Weights = request.Pinned.Weights
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -39,6 +39,8 @@
 	Arrived  time.Time
 	// Pinned is the only version that may resume a stream; nil allows any version of the assistant's model.
 	Pinned *stream.Version
+	// Software is the only software version that may resume a stream; nil allows any.
+	Software *string
 	// Only names the upstreams that may get the request, in the order of preference; empty means all.
 	Only []string
 	// FailedUpstreams names the upstreams at which earlier attempts of this request failed.
--- a/relay/forward/placement.go
+++ b/relay/forward/placement.go
@@ -34,6 +34,8 @@
 	LastEventAt time.Time
 	// Only are the IDs of the upstreams at which the request may run, the one that failed last at the end; nil for any.
 	Only []string
+	// Software is the only software version at which a stream that has begun may go on; nil for any.
+	Software *string
 	// FailedUpstreams are the IDs of upstreams that failed or refused the request.
 	FailedUpstreams []string
 	// UnreachableUpstreams are the IDs of those to which no connection could be made.
--- a/relay/routing/affinity.go
+++ b/relay/routing/affinity.go
@@ -93,7 +93,7 @@
 	needed := c.homesNeeded(now, p, p.homes.prefix)
 	p.recentlyShared = c.demand.count(now, p.homes.prefix) >= minSharedUses
 	for _, u := range p.group.list {
-		if u.draining || u.region&p.regions == 0 || !c.withinSpan(u, p) {
+		if u.draining || u.region&p.regions == 0 || !c.withinSpan(u, p) || !f.request.fits(u) {
 			continue
 		}
 		p.homes.insert(p.homes.score(u))
@@ -117,7 +117,7 @@
 	p.placementTokens, p.peerRate = p.tokens, 0
 	candidates := 0
 	for _, u := range p.group.list {
-		if !u.draining && u.region&p.regions != 0 && c.withinSpan(u, p) {
+		if !u.draining && u.region&p.regions != 0 && c.withinSpan(u, p) && p.flight.request.fits(u) {
 			candidates++
 			p.homes.insert(p.homes.score(u))
 		}
@@ -157,7 +157,7 @@
 func (c *Core) findNearest(p *plan) bool {
 	distance := len(c.links)
 	for _, u := range p.group.list {
-		if u.draining || u.region&p.regions == 0 || len(p.exclude) > 0 && slices.Contains(p.exclude, u.info.Name) {
+		if u.draining || u.region&p.regions == 0 || len(p.exclude) > 0 && slices.Contains(p.exclude, u.info.Name) || !p.flight.request.fits(u) {
 			continue
 		}
 		distance = min(distance, u.distance)
--- a/relay/routing/decide.go
+++ b/relay/routing/decide.go
@@ -46,7 +46,7 @@
 	var best *upstream
 	for _, name := range f.request.Only {
 		u := c.byName[name]
-		if u == nil || u.draining || u.silent || u.region&regions == 0 || now < u.pausedUntil || c.outdated(now, u.group) {
+		if u == nil || u.draining || u.silent || u.region&regions == 0 || now < u.pausedUntil || c.outdated(now, u.group) || !f.request.fits(u) {
 			continue
 		}
 		if v := u.group.version; v.Model != f.request.Model || v.Adapter != f.request.Adapter {
--- a/relay/routing/plan.go
+++ b/relay/routing/plan.go
@@ -47,7 +47,7 @@
 
 // allowed reports whether an upstream may get the request at all.
 func (c *Core) allowed(now time.Duration, u *upstream, p *plan) bool {
-	if u.draining || u.silent || u.region&p.regions == 0 || now < u.ejectedUntil || now < u.pausedUntil {
+	if u.draining || u.silent || u.region&p.regions == 0 || now < u.ejectedUntil || now < u.pausedUntil || !p.flight.request.fits(u) {
 		return false
 	}
 	// After a failure, one request at a time tests whether the upstream has recovered.
@@ -122,7 +122,7 @@
 // anyServing reports whether an upstream serves the request. It includes ejected ones, since a request can queue for them.
 func (c *Core) anyServing(p *plan) bool {
 	for _, u := range p.group.list {
-		if !u.draining && u.region&p.regions != 0 && !slices.Contains(p.exclude, u.info.Name) {
+		if !u.draining && u.region&p.regions != 0 && p.flight.request.fits(u) && !slices.Contains(p.exclude, u.info.Name) {
 			return true
 		}
 	}
--- a/relay/routing/policy.go
+++ b/relay/routing/policy.go
@@ -32,7 +32,7 @@
 func (c *Core) eligible(now time.Duration, p *plan) []*upstream {
 	var list, serving []*upstream
 	for _, u := range p.group.list {
-		if u.draining || u.region&p.regions == 0 || !c.withinSpan(u, p) {
+		if u.draining || u.region&p.regions == 0 || !c.withinSpan(u, p) || !p.flight.request.fits(u) {
 			continue
 		}
 		if c.allowed(now, u, p) {
--- a/relay/routing/queue.go
+++ b/relay/routing/queue.go
@@ -209,7 +209,7 @@
 		return d, true
 	}
 	g := c.groupFor(now, &f.request, c.allowedRegions(&f.request))
-	if g == nil || !c.anyServing(&plan{group: g, regions: c.allowedRegions(&f.request)}) {
+	if g == nil || !c.anyServing(&plan{flight: f, group: g, regions: c.allowedRegions(&f.request)}) {
 		return noUpstream(), true
 	}
 	return Decision{}, false
--- a/relay/routing/request.go
+++ b/relay/routing/request.go
@@ -20,6 +20,8 @@
 	Adapter   string
 	// Weights pins a version, as when a stream is resumed; if empty, requests are spread over the versions in service by their slots.
 	Weights string
+	// Software is the only software version that may serve the request, as when a stream is resumed; nil allows any.
+	Software *string
 	// Levels are the nested prefixes, shortest first; they must not be changed while the request is in progress.
 	Levels []prompt.Level
 	// Parts are the PartHash values of the parts that end at the levels, for engines that report which parts they hold.
@@ -45,6 +47,9 @@
 	Attempt int
 }
 
+// fits reports whether the upstream runs the software version that the request is bound to.
+func (r *Request) fits(u *upstream) bool { return r.Software == nil || u.info.Software == *r.Software }
+
 // Import is a plan to fetch the KV cache of a prefix from another upstream before the prefill.
 type Import struct {
 	From string
--- a/relay/routing/reuse.go
+++ b/relay/routing/reuse.go
@@ -391,7 +391,7 @@
 	}
 	p.homes.prefix = p.partKeys[len(p.partKeys)-2]
 	for _, u := range p.group.list {
-		if !u.draining && !u.silent && u.region&p.regions != 0 && u.distance <= int(c.cellSpan) {
+		if !u.draining && !u.silent && u.region&p.regions != 0 && u.distance <= int(c.cellSpan) && p.flight.request.fits(u) {
 			p.homes.insert(p.homes.score(u))
 		}
 	}
--- a/relay/routing/version.go
+++ b/relay/routing/version.go
@@ -52,7 +52,7 @@
 	var only, best *group
 	count, least := 0, 0.0
 	for version, g := range c.groups {
-		if version.Model == f.request.Model && version.Adapter == f.request.Adapter && g.servingSlots(regions, nil) > 0 && !c.outdated(now, g) {
+		if version.Model == f.request.Model && version.Adapter == f.request.Adapter && g.servingSlots(&f.request, regions, nil) > 0 && !c.outdated(now, g) {
 			only = g
 			count++
 		}
@@ -61,7 +61,7 @@
 		return only
 	}
 	for version, g := range c.groups {
-		if version.Model != f.request.Model || version.Adapter != f.request.Adapter || g.servingSlots(regions, nil) == 0 || c.outdated(now, g) {
+		if version.Model != f.request.Model || version.Adapter != f.request.Adapter || g.servingSlots(&f.request, regions, nil) == 0 || c.outdated(now, g) {
 			continue
 		}
 		var p plan
@@ -148,10 +148,10 @@
 	allSlots := 0
 	for version, other := range c.groups {
 		if version.Model == r.Model && version.Adapter == r.Adapter {
-			allSlots += other.servingSlots(regions, nil)
+			allSlots += other.servingSlots(r, regions, nil)
 		}
 	}
-	if slots := g.servingSlots(regions, r.Exclude); slots > 0 && float64(slots) >= preferNewestShare*float64(allSlots) {
+	if slots := g.servingSlots(r, regions, r.Exclude); slots > 0 && float64(slots) >= preferNewestShare*float64(allSlots) {
 		return g
 	}
 	return nil
@@ -169,7 +169,7 @@
 		if version.Model != r.Model || version.Adapter != r.Adapter {
 			continue
 		}
-		slots := g.servingSlots(regions, exclude)
+		slots := g.servingSlots(r, regions, exclude)
 		if slots == 0 || c.outdated(now, g) {
 			continue
 		}
@@ -188,11 +188,11 @@
 	return -float64(slots) / math.Log(uniform)
 }
 
-// servingSlots returns the slots of the upstreams that take new requests in the given regions.
-func (g *group) servingSlots(regions uint64, exclude []string) int {
+// servingSlots returns the slots of the upstreams in the given regions that take the request if it is new.
+func (g *group) servingSlots(r *Request, regions uint64, exclude []string) int {
 	slots := 0
 	for _, u := range g.list {
-		if !u.draining && u.region&regions != 0 && !slices.Contains(exclude, u.info.Name) {
+		if !u.draining && u.region&regions != 0 && r.fits(u) && !slices.Contains(exclude, u.info.Name) {
 			slots += u.slots
 		}
 	}
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -115,7 +115,7 @@
 			}
 			engines = append(engines, catalogue.Upstream{
 				Name: u.ID, Address: u.Address, DataCentre: u.Centre, Region: p.settings.Discovered.Centres[u.Centre], Kind: catalogue.Engine,
-				Service: u.Service, Model: modelKey(u.Service, model.Name), Weights: strconv.FormatUint(model.Weights, 10),
+				Service: u.Service, Model: modelKey(u.Service, model.Name), Weights: strconv.FormatUint(model.Weights, 10), Software: u.Software,
 				Slots: service.Engine.Slots, Cache: service.Engine.Memory, State: state,
 				Transfer: tokenTransferTime(service.Engine.TokenBytes, service.Engine.LinkMbps),
 			})
@@ -196,8 +196,8 @@
 	resumeTime = 300 * time.Millisecond
 )
 
-// acquire waits for a ticket. A stream that is limited to the engines at which it has run waits for one of them while they load new
-// weights, as long as its caller does.
+// acquire waits for a ticket. A stream that is limited to the engines at which it has run, or to those of a software version, waits for
+// one of them while they load new weights, as long as its caller does.
 func (p *placer) acquire(ctx context.Context, r *forward.PlacementRequest, request dispatch.Request) (*dispatch.Ticket, error) {
 	waitsSince := r.Arrived
 	if r.LastEventAt.After(waitsSince) {
@@ -207,13 +207,20 @@
 	for {
 		ticket, err := p.dispatch.Acquire(ctx, request)
 		var refusal *outcome.Refusal
-		if len(r.Only) == 0 || !errors.As(err, &refusal) || refusal.Kind != outcome.NoUpstream || !time.Now().Before(until) {
+		if len(r.Only) == 0 && !p.loadsSoftware(r) || !errors.As(err, &refusal) || refusal.Kind != outcome.NoUpstream || !time.Now().Before(until) {
 			return ticket, err
 		}
 		sleep(ctx, onlyInterval)
 	}
 }
 
+// loadsSoftware reports whether an engine of the software version that a request is bound to takes none only while it loads weights.
+func (p *placer) loadsSoftware(r *forward.PlacementRequest) bool {
+	return r.Software != nil && slices.ContainsFunc(p.state.list.Load().Service(r.Service.Name), func(u *directory.Upstream) bool {
+		return u.Software == *r.Software && u.Loading && !u.Leaving
+	})
+}
+
 func (p *placer) placeOnEngine(ctx context.Context, r *forward.PlacementRequest) (*forward.Placement, error) {
 	deadline := r.Deadline.Sub(r.Arrived)
 	if r.Begun {
@@ -229,7 +236,7 @@
 		ID: r.ID, Account: catalogue.Account{Name: accountName(r.Account)}, Scope: r.Scope, Urgency: r.Priority,
 		Assistant: catalogue.Assistant{Name: r.Route.Name, Model: modelKey(r.Service.Name, r.Metadata.Model)},
 		Levels:    r.Levels, Parts: r.PartHashes, SharedParts: sharedParts(r.PartHashes), Fingerprint: r.Fingerprint, Resumed: r.Begun, TargetTTFT: r.Route.Target, PromptTokens: r.Metadata.PromptTokens, AnswerTokens: answerTokens, Idempotent: r.Route.Repeatable(),
-		Deadline: deadline, Arrived: r.Arrived, Only: r.Only, FailedUpstreams: r.FailedUpstreams,
+		Deadline: deadline, Arrived: r.Arrived, Only: r.Only, Software: r.Software, FailedUpstreams: r.FailedUpstreams,
 	})
 	if err != nil {
 		return nil, err
@@ -239,6 +246,10 @@
 		ticket.Fail(dispatch.Failure{NotRun: true})
 		return nil, outcome.Refuse(outcome.NoUpstream, "the upstream has just gone")
 	}
+	if r.Software != nil && u.Software != *r.Software {
+		ticket.Fail(dispatch.Failure{NotRun: true})
+		return nil, outcome.Refuse(outcome.NoUpstream, "the upstream has just started with another software version than the one that began the stream")
+	}
 	weights, err := strconv.ParseUint(ticket.Upstream.Weights, 10, 64)
 	if err != nil {
 		return nil, err
@@ -360,7 +371,7 @@
 	list := p.state.list.Load()
 	var candidates []balance.Candidate
 	for _, u := range list.Service(r.Service.Name) {
-		if u.Leaving || !p.pauses.Until(u.ID).IsZero() {
+		if u.Leaving || !p.pauses.Until(u.ID).IsZero() || r.Software != nil && u.Software != *r.Software {
 			continue
 		}
 		candidates = append(candidates, balance.Candidate{ID: u.ID, Link: p.linkCost(u), Slots: u.Slots})
