Add records of the software version at which a stream began

A VM that resumes a stream needs to know at which software version it began, also if the VM that began it has ended. A stream without a record has an origin only if one version alone has been listed for longer than a stream lasts; otherwise it has none, so that nobody guesses.

--- /dev/null
+++ b/relay/origin/origin_test.go
@@ -0,0 +1,242 @@
+package origin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/origin"
+)
+
+// seeds returns the seeds 1 to count; CHICORY_SEEDS sets another count, CHICORY_SEED a single seed.
+func seeds(count int) (list []uint64) {
+	if one, err := strconv.ParseUint(os.Getenv("CHICORY_SEED"), 10, 64); err == nil {
+		return []uint64{one}
+	}
+	if n, err := strconv.Atoi(os.Getenv("CHICORY_SEEDS")); err == nil {
+		count = n
+	}
+	for seed := range count {
+		list = append(list, uint64(seed+1))
+	}
+	return list
+}
+
+func at(software string) origin.Origin { return origin.Origin{Service: "llm", Software: software} }
+
+func key(i int) origin.Key { return origin.NewKey("baths", fmt.Sprint(i)) }
+
+func expectOrigin(r *origin.Registry, now time.Duration, k origin.Key, software string, expected origin.Knowledge) {
+	GinkgoHelper()
+	found, knowledge := r.Find(now, k)
+	Expect(knowledge).To(Equal(expected))
+	if expected == origin.Known {
+		Expect(found).To(Equal(at(software)))
+	}
+}
+
+var _ = Describe("registry of origins", func() {
+	It("knows a stream by its account and attempt until its time is over", func() {
+		r := origin.NewRegistry(10)
+		r.Add(0, origin.Record{Key: key(1), Origin: at("v1"), Until: 20 * time.Second})
+		expectOrigin(r, 19*time.Second, key(1), "v1", origin.Known)
+		expectOrigin(r, 0, origin.NewKey("ships", "1"), "", origin.Unknown)
+		expectOrigin(r, 0, origin.NewKey("", "5:baths1"), "", origin.Unknown)
+		expectOrigin(r, 22*time.Second, key(1), "", origin.Unknown)
+		Expect(r.Len()).To(BeZero())
+	})
+
+	It("keeps a stream that goes on for longer, and no stream for more than ten minutes", func() {
+		r := origin.NewRegistry(10)
+		r.Add(0, origin.Record{Key: key(1), Origin: at("v1"), Until: 20 * time.Second})
+		r.Add(15*time.Second, origin.Record{Key: key(1), Origin: at("v1"), Until: 30 * time.Second})
+		r.Add(0, origin.Record{Key: key(2), Origin: at("v1"), Until: 1000 * time.Hour})
+		expectOrigin(r, 29*time.Second, key(1), "v1", origin.Known)
+		expectOrigin(r, 11*time.Minute, key(2), "", origin.Unknown)
+	})
+
+	// Guards against a guess between two streams that a caller has given the same ID.
+	It("knows no origin of streams of one key that began at different versions", func() {
+		r := origin.NewRegistry(10)
+		r.Add(0, origin.Record{Key: key(1), Origin: at("v1"), Until: time.Minute})
+		r.Add(0, origin.Record{Key: key(1), Origin: at("v2"), Until: time.Minute})
+		r.Add(0, origin.Record{Key: key(1), Origin: at("v2"), Until: time.Minute})
+		expectOrigin(r, 0, key(1), "", origin.Several)
+		copied := origin.NewRegistry(10)
+		for _, record := range r.Records(0) {
+			copied.Add(0, record)
+		}
+		expectOrigin(copied, 0, key(1), "", origin.Several)
+	})
+
+	// Guards against a registry that grows with its callers, and against a wrong origin once it is full.
+	It("stays within its limit and never names another origin than the recorded one, with drawn records", func() {
+		for _, seed := range seeds(50) {
+			random := rand.New(rand.NewPCG(seed, 48))
+			const limit = 40
+			r := origin.NewRegistry(limit)
+			began, until, several := map[int]string{}, map[int]time.Duration{}, map[int]bool{}
+			now := time.Duration(0)
+			for i := range 600 {
+				now += time.Duration(random.IntN(400)) * time.Millisecond
+				id := i/3 - random.IntN(20)
+				if random.IntN(3) > 0 {
+					software := fmt.Sprint("v", random.IntN(2+id&1))
+					if id&3 > 0 {
+						software = fmt.Sprint("v", id&3)
+					}
+					if old, ok := began[id]; ok && old != software && until[id]+time.Second >= now {
+						several[id] = true
+					}
+					began[id], until[id] = software, max(until[id], now+time.Duration(random.IntN(20_000))*time.Millisecond)
+					r.Add(now, origin.Record{Key: key(id), Origin: at(software), Until: until[id]})
+				}
+				found, knowledge := r.Find(now, key(id))
+				if knowledge == origin.Known && !several[id] {
+					Expect(found).To(Equal(at(began[id])), "seed %d", seed)
+				}
+				Expect(knowledge == origin.Several).To(Or(BeFalse(), Equal(several[id])), "seed %d", seed)
+				Expect(r.Len()).To(BeNumerically("<=", limit), "seed %d", seed)
+			}
+		}
+	})
+})
+
+var _ = Describe("history of versions", func() {
+	const window = 30 * time.Second
+
+	// observe reads the list every second until a time.
+	observe := func(h *origin.History, from, until time.Duration, versions ...string) {
+		for now := from; now <= until; now += time.Second {
+			var list []origin.Origin
+			for _, v := range versions {
+				list = append(list, at(v))
+			}
+			h.Observe(now, list)
+		}
+	}
+	expectSole := func(h *origin.History, now time.Duration, expected string) {
+		GinkgoHelper()
+		software, ok := h.Sole(now, "llm", window)
+		Expect(ok).To(Equal(expected != ""))
+		Expect(software).To(Equal(expected))
+	}
+
+	It("names the only version once it has been listed for the time of a stream", func() {
+		h := origin.NewHistory()
+		expectSole(h, 0, "")
+		observe(h, 0, 29*time.Second, "v1")
+		expectSole(h, 29*time.Second, "")
+		observe(h, 30*time.Second, 31*time.Second, "v1")
+		expectSole(h, 31*time.Second, "v1")
+		_, ok := h.Sole(31*time.Second, "other", window)
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against a stream of a version that has left being taken for one of the version that is left.
+	It("names none from the first reading with a second version until its last one is older than a stream", func() {
+		h := origin.NewHistory()
+		observe(h, 0, 40*time.Second, "v1")
+		observe(h, 41*time.Second, 50*time.Second, "v1", "v2")
+		expectSole(h, 41*time.Second, "")
+		observe(h, 51*time.Second, 79*time.Second, "v2")
+		expectSole(h, 79*time.Second, "")
+		observe(h, 80*time.Second, 81*time.Second, "v2")
+		expectSole(h, 81*time.Second, "v2")
+	})
+
+	// Guards against versions that come and go while nobody reads the list.
+	It("names none after a gap between two readings, or while the last one is old", func() {
+		h := origin.NewHistory()
+		observe(h, 0, 40*time.Second, "v1")
+		expectSole(h, 46*time.Second, "")
+		observe(h, 50*time.Second, 51*time.Second, "v1")
+		expectSole(h, 51*time.Second, "")
+		observe(h, 52*time.Second, 80*time.Second, "v1")
+		expectSole(h, 80*time.Second, "v1")
+	})
+})
+
+var _ = Describe("lookup of an origin", func() {
+	sole := func(software string) origin.Answer { return origin.Answer{Sole: software, HasSole: true} }
+	known := func(software string) origin.Answer {
+		return origin.Answer{Knowledge: origin.Known, Origin: at(software)}
+	}
+	lookup := func(own origin.Answer, listed ...string) *origin.Lookup {
+		l := origin.NewLookup("llm", own, listed)
+		l.Ask([]string{"c1", "c2"})
+		return l
+	}
+	expectResult := func(l *origin.Lookup, software string, expected origin.Knowledge, isRecord bool) {
+		GinkgoHelper()
+		found, knowledge, record := l.Result()
+		Expect(knowledge).To(Equal(expected))
+		Expect(record).To(Equal(isRecord))
+		if expected == origin.Known {
+			Expect(found).To(Equal(at(software)))
+		}
+	}
+
+	It("ends with the first record that a VM has", func() {
+		l := lookup(origin.Answer{}, "v1", "v2")
+		l.Add("c1", true, origin.Answer{})
+		Expect(l.Done()).To(BeFalse())
+		l.Add("c2", true, known("v2"))
+		Expect(l.Done()).To(BeTrue())
+		expectResult(l, "v2", origin.Known, true)
+		Expect(lookup(known("v1"), "v1").Done()).To(BeTrue())
+	})
+
+	It("knows nothing if two VMs disagree, or one knows of several", func() {
+		l := lookup(origin.Answer{}, "v1")
+		l.Add("c1", true, known("v1"))
+		l.Add("c2", true, known("v2"))
+		expectResult(l, "", origin.Several, true)
+		l = lookup(origin.Answer{}, "v1")
+		l.Add("c1", true, origin.Answer{Knowledge: origin.Several})
+		expectResult(l, "", origin.Several, true)
+	})
+
+	It("ignores answers of VMs that were not asked, and further ones of the same", func() {
+		l := lookup(origin.Answer{}, "v1", "v2")
+		l.Add("c3", true, known("v1"))
+		expectResult(l, "", origin.Unknown, false)
+		l.Add("c1", true, origin.Answer{})
+		l.Add("c1", true, known("v1"))
+		expectResult(l, "", origin.Unknown, false)
+	})
+
+	// Guards against a guess: one version must be the only one by all control VMs that answer, and by the present list.
+	DescribeTable("takes the only version of the service for the origin of a stream without a record", func(own origin.Answer, answers []origin.Answer, listed []string, software string) {
+		l := lookup(own, listed...)
+		for i, a := range answers {
+			l.Add([]string{"c1", "c2"}[i], true, a)
+		}
+		expected := origin.Known
+		if software == "" {
+			expected = origin.Unknown
+		}
+		expectResult(l, software, expected, false)
+	},
+		Entry("if all control VMs say so", sole("v1"), []origin.Answer{sole("v1"), sole("v1")}, []string{"v1", "v1"}, "v1"),
+		Entry("if those say so that answer", origin.Answer{}, []origin.Answer{sole("v1")}, []string{"v1"}, "v1"),
+		Entry("if this VM knows it and none answers", sole("v1"), nil, []string{"v1"}, "v1"),
+		Entry("not if one can't tell", sole("v1"), []origin.Answer{sole("v1"), {}}, []string{"v1"}, ""),
+		Entry("not if the first one can't tell", sole("v1"), []origin.Answer{{}, sole("v1")}, []string{"v1"}, ""),
+		Entry("not if they name different ones", sole("v1"), []origin.Answer{sole("v1"), sole("v2")}, []string{"v1"}, ""),
+		Entry("not if another one is listed now", sole("v1"), []origin.Answer{sole("v1"), sole("v1")}, []string{"v1", "v2"}, ""),
+		Entry("not if nobody can tell", origin.Answer{}, nil, []string{"v1"}, ""),
+	)
+
+	It("does not take a VM without the whole list for a control VM", func() {
+		l := lookup(origin.Answer{}, "v1")
+		l.Add("c1", false, sole("v1"))
+		expectResult(l, "", origin.Unknown, false)
+		Expect(l.Answered()).To(BeFalse())
+	})
+})
