Resume streams only at the software version that began them

Callers got streams whose first events came from one software version of an engine and the rest from another one, with nothing in the answer to show it: neither the placement of a resumption within an answer nor that of a take-up knew of versions.

The first event of a stream binds the rest of its answer to the version of its upstream. The version is recorded under the account and the attempt before the event is sent, in the VM and, within 20 ms for 8 VMs, at up to three control VMs. A take-up names the attempt in Resumes: the VM asks the control VMs, then its cell, and places it at that version only. One whose origin nobody knows goes on only if one version alone has been listed for longer than a stream lasts, and is refused at once otherwise. Records of another account are not found.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -204,6 +204,7 @@
 	if !s.begun {
 		s.copyHeader(answer)
 		s.w.Header().Del("Content-Length")
+		s.beginStream(p)
 		s.beginAnswer(answer.Status)
 		p.Begin()
 	}
@@ -373,7 +374,7 @@
 func (s *session) abort(cause error) {
 	s.refusalKind = outcome.UpstreamFailed
 	s.f.log.WithFields(log.Fields{
-		"request": s.metadata.ID, "last": s.lastEventID, "age": s.f.now().Sub(s.arrived), "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "cause": cause.Error(),
+		"request": s.metadata.ID, "last": s.lastEventID, "software": s.software(), "age": s.f.now().Sub(s.arrived), "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "cause": cause.Error(),
 	}).Info("answer broken off")
 	panic(http.ErrAbortHandler)
 }
@@ -402,6 +403,6 @@
 	total := s.f.now().Sub(s.arrived)
 	s.f.recorder(RequestRecord{Route: name, Status: s.status, TimeToAnswer: s.timeToAnswer, Total: total, Sends: s.sends, RefusalKind: s.refusalKind})
 	if s.refusalKind == "" {
-		s.f.log.WithFields(log.Fields{"request": s.metadata.ID, "route": name, "status": s.status, "first": s.timeToAnswer, "total": total, "pause": s.maxPause, "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "last": s.lastEventID, "body": s.bodyBytes, "sent": s.sentBytes}).Info("served")
+		s.f.log.WithFields(log.Fields{"request": s.metadata.ID, "route": name, "status": s.status, "first": s.timeToAnswer, "total": total, "pause": s.maxPause, "sends": s.sends, "framing": s.framing, "events": s.forwardedEvents, "last": s.lastEventID, "software": s.software(), "body": s.bodyBytes, "sent": s.sentBytes}).Info("served")
 	}
 }
--- a/relay/forward/forwarder.go
+++ b/relay/forward/forwarder.go
@@ -33,17 +33,20 @@
 
 // Forwarder is the HTTP handler that forwards requests by the routes of the desired state.
 type Forwarder struct {
-	table    func() *route.Table
-	dialect  Dialect
-	pool     *connection.Pool
-	place    PlaceFunc
-	reserve  ReserveFunc
-	find     func(id string) *directory.Upstream
-	budget   *Budget
-	log      log.Interface
-	now      func() time.Time
-	random   func() float64
-	stopping atomic.Bool
+	table   func() *route.Table
+	dialect Dialect
+	pool    *connection.Pool
+	place   PlaceFunc
+	reserve ReserveFunc
+	find    func(id string) *directory.Upstream
+	// recordOrigin and findOrigin are the functions of WithOrigins, or nil.
+	recordOrigin RecordOriginFunc
+	findOrigin   FindOriginFunc
+	budget       *Budget
+	log          log.Interface
+	now          func() time.Time
+	random       func() float64
+	stopping     atomic.Bool
 	// endsAt is when the process ends, zero while that isn't known; stop gives up the requests that wait for a placement.
 	endsAt  atomic.Pointer[time.Time]
 	stopped context.Context
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -83,6 +83,8 @@
 	forwardedEvents int
 	// watched is the last attempt as the function of WithWatch sees it, or nil.
 	watched *watchedAttempt
+	// mayNotResume is set for a stream that has begun at an unknown software version.
+	mayNotResume bool
 }
 
 func (s *session) run() {
@@ -118,6 +120,9 @@
 		return
 	}
 	s.prepare(table, account, timeout)
+	if !s.bindTakeUp(ctx, table) {
+		return
+	}
 	if !s.reserve(ctx) {
 		return
 	}
@@ -257,6 +262,8 @@
 // maySend is mayRunAgain for an answer that has begun or not.
 func (s *session) maySend(begun bool) bool {
 	switch {
+	case begun && s.mayNotResume:
+		return false
 	case begun && s.sends >= maxStreamSends || !begun && s.sends >= maxSends:
 		return false
 	case s.runs == 0:
@@ -342,6 +349,9 @@
 	if s.sends == 0 {
 		s.f.budget.Deposit(s.placementRequest.Service.Name)
 	}
+	if s.begun {
+		s.logResumption(p)
+	}
 	s.sends++
 	s.inFlight = true
 	s.framing, s.sentAt, s.sentBytes = "", s.f.now(), len(s.body)
--- a/relay/outcome/refusal.go
+++ b/relay/outcome/refusal.go
@@ -34,6 +34,7 @@
 	ShuttingDown       Kind = "shutting_down"
 	Quarantined        Kind = "quarantined"
 	AccountRate        Kind = "account_rate"
+	OriginUnknown      Kind = "origin_unknown"
 )
 
 var statusByKind = map[Kind]int{
@@ -60,6 +61,8 @@
 	ShuttingDown: http.StatusServiceUnavailable,
 	Quarantined:  http.StatusServiceUnavailable,
 	AccountRate:  http.StatusTooManyRequests,
+	// The request has not run; an upstream of another version must not go on with the stream.
+	OriginUnknown: http.StatusServiceUnavailable,
 }
 
 // Kinds returns every refusal kind in no particular order.
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -119,6 +119,11 @@
 // RequiresKey reports whether requests need a key.
 func (t *Table) RequiresKey() bool { return t.State.Accounts != nil }
 
+// Allows reports whether requests of the route may run at a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService returns the service for a request, at random by weight; draw is a random number in [0, 1).
 func (r *Route) PickService(draw float64) string {
 	sum := 0
--- a/relay/vm/callers.go
+++ b/relay/vm/callers.go
@@ -47,11 +47,11 @@
 	return guard
 }
 
-func newForwarder(st *state, budget *forward.Budget, pool *connection.Pool, p *placer, rates *accountRates, c *counters, w *silenceWatcher, logger log.Interface) *forward.Forwarder {
+func newForwarder(st *state, budget *forward.Budget, pool *connection.Pool, p *placer, rates *accountRates, c *counters, w *silenceWatcher, o *origins, logger log.Interface) *forward.Forwarder {
 	f := forward.New(
 		forward.WithTable(st.table.Load), forward.WithDialect(st.adapter.Dialect), forward.WithPool(pool), forward.WithPlaceFunc(p.place), forward.WithUpstreams(func(id string) *directory.Upstream { return st.list.Load().Find(id) }),
 		forward.WithLog(logger), forward.WithBudget(budget), forward.WithRecorder(c.observe), forward.WithCurrent(func() bool { return st.current() }),
-		forward.WithWatch(w.watch), forward.WithReserveFunc(rates.reserve),
+		forward.WithWatch(w.watch), forward.WithReserveFunc(rates.reserve), forward.WithOrigins(o.record, o.find),
 	)
 	configure := st.onChange
 	st.onChange = func() {
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -148,6 +148,8 @@
 	silence *silenceWatcher
 	// onGrant is called with the tokens that the leader grants to this VM.
 	onGrant func(from string, grant *peer.QuotaGrant)
+	// origins has the records of streams; it is set while the components are built.
+	origins *origins
 	// speeds are the learned speeds of upstreams.
 	speeds        *speeds
 	name          string
@@ -203,6 +205,7 @@
 }
 
 func (m *peerMesh) receive(message peer.Message) {
+	m.origins.noteBoot(message.From, message.Boot)
 	if digest := message.Body.GetDigest(); digest != nil {
 		m.speeds.receive(digest.GetReplicas())
 		m.dispatch.ReceiveDigest(message.From, digest)
@@ -232,6 +235,18 @@
 		m.onCacheRequest(message.From)
 		return
 	}
+	if streams := message.Body.GetOrigins(); streams != nil {
+		m.origins.receive(streams)
+		return
+	}
+	if request := message.Body.GetOriginRequest(); request != nil {
+		m.origins.reply(message.From, request)
+		return
+	}
+	if reply := message.Body.GetOriginReply(); reply != nil {
+		m.origins.receiveReply(message.From, reply)
+		return
+	}
 	m.host.Deliver(message)
 }
 
--- a/relay/vm/metrics.go
+++ b/relay/vm/metrics.go
@@ -115,6 +115,7 @@
 	}
 	lines = append(lines, fmt.Sprintf("lease_left_ms %d", max(0, view.LeasedUntil-c.host.Now()).Milliseconds()))
 	lines = append(lines, c.rates.lines()...)
+	lines = append(lines, c.mesh.origins.lines()...)
 	lines = append(lines, c.mesh.speeds.lines()...)
 	sort.Strings(lines)
 	var b bytes.Buffer
--- /dev/null
+++ b/relay/vm/origins.go
@@ -0,0 +1,393 @@
+package vm
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/fx"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/control"
+	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/origin"
+	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+	"github.com/chicoryrelay/chicoryrelay/relay/route"
+	"github.com/chicoryrelay/chicoryrelay/relay/settings"
+)
+
+const (
+	// originHolders is the number of control VMs that get the record of a stream.
+	originHolders = 3
+	// originInterval is the time in which the records of new streams are sent together. It grows with the VMs like the interval of
+	// digests, so that the messages at a control VM don't.
+	originInterval = 20 * time.Millisecond
+	// historyInterval is the interval at which the list of upstreams is entered into the history.
+	historyInterval = 500 * time.Millisecond
+	// maxControlWait limits the wait for the control VMs that are asked for an origin, maxCellWait that for the VMs of the cell which are
+	// asked after them. originRepeat is the interval at which those are asked again whose session has just opened.
+	maxControlWait = 250 * time.Millisecond
+	maxCellWait    = 100 * time.Millisecond
+	originRepeat   = 50 * time.Millisecond
+	// maxEntryRecords and maxControlRecords limit the records of a VM, of about 100 bytes each.
+	maxEntryRecords   = 1 << 15
+	maxControlRecords = 1 << 18
+	// minStreamTime and streamTimes say for how long one software version alone must have been listed to be the one of a stream without a
+	// record: a caller's time limit is at most so many times the longest timeout of the routes.
+	minStreamTime = 30 * time.Second
+	streamTimes   = 2
+)
+
+// origins records where the streams of this VM began, keeps such records of others on a control VM, and looks them up.
+type origins struct {
+	state *state
+	host  *control.Host
+	mesh  *peerMesh
+	log   log.Interface
+
+	mu       sync.Mutex
+	registry *origin.Registry
+	history  *origin.History
+	// pending are the records that are still to be sent.
+	pending []origin.Record
+	lookups map[uint64]*originLookup
+	last    uint64
+	// boots are the last incarnations of the other VMs.
+	boots map[string]uint64
+
+	recorded, looked, missed atomic.Uint64
+}
+
+// originLookup is a lookup in progress; changed receives a value after each answer.
+type originLookup struct {
+	*origin.Lookup
+	changed chan struct{}
+}
+
+func newOrigins(s settings.Settings, st *state, host *control.Host, m *peerMesh, logger log.Interface) *origins {
+	limit := maxEntryRecords
+	if s.Data != "" {
+		limit = maxControlRecords
+	}
+	o := &origins{
+		state: st, host: host, mesh: m, log: logger, registry: origin.NewRegistry(limit), history: origin.NewHistory(), lookups: map[uint64]*originLookup{}, boots: map[string]uint64{},
+	}
+	m.origins = o
+	return o
+}
+
+func runOrigins(lifecycle fx.Lifecycle, o *origins) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go runEvery(ctx, historyInterval, func() {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				o.observe()
+			})
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+}
+
+// observe enters the present list into the history; the caller holds the lock.
+func (o *origins) observe() {
+	list := o.state.list.Load()
+	readAt := max(o.host.View().ListedAt, time.Duration(o.state.readAt.Load()))
+	if list == nil || readAt == 0 {
+		return
+	}
+	age := o.host.Now() - readAt
+	all := make([]origin.Origin, len(list.Upstreams))
+	for i := range list.Upstreams {
+		all[i] = origin.Origin{Service: list.Upstreams[i].Service, Software: list.Upstreams[i].Software}
+	}
+	o.history.Observe(o.state.now()-age, all)
+}
+
+// record records where a stream began that its caller may take up until a time, and sends the record to control VMs.
+func (o *origins) record(account, attempt string, at origin.Origin, until time.Time) {
+	o.recorded.Add(1)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.state.now()
+	r := origin.Record{Key: origin.NewKey(account, attempt), Origin: at, Until: now + time.Until(until)}
+	o.registry.Add(now, r)
+	if o.pending = append(o.pending, r); len(o.pending) == 1 {
+		time.AfterFunc(originInterval*time.Duration(intervalFactor(callerVMs(o.state.vms.Load()))), o.flush)
+	}
+}
+
+// callerVMs returns the number of VMs with callers.
+func callerVMs(roster *peer.Roster) (count int) {
+	for _, vm := range roster.GetVms() {
+		if vm.GetCallers() {
+			count++
+		}
+	}
+	return count
+}
+
+// flush sends the pending records.
+func (o *origins) flush() {
+	o.mu.Lock()
+	records := o.pending
+	o.pending = nil
+	now := o.state.now()
+	o.mu.Unlock()
+	o.send(now, records, o.mesh.controls())
+}
+
+// send sends each record to those of the control VMs that hold it.
+func (o *origins) send(now time.Duration, records []origin.Record, controls []string, only ...string) {
+	for _, name := range controls {
+		if len(only) > 0 && !slices.Contains(only, name) {
+			continue
+		}
+		var held []origin.Record
+		for _, r := range records {
+			if slices.Contains(holdersOf(r.Key, controls), name) {
+				held = append(held, r)
+			}
+		}
+		if len(held) > 0 {
+			o.mesh.mesh.Send(name, &peer.Envelope{Body: &peer.Envelope_Origins{Origins: encodeOrigins(now, held)}})
+		}
+	}
+}
+
+// holdersOf returns the control VMs that hold a record, the same at every VM.
+func holdersOf(key origin.Key, controls []string) []string {
+	if len(controls) <= originHolders {
+		return controls
+	}
+	score := func(name string) uint64 { return xxhash.Sum64(append(key[:], name...)) }
+	ranked := slices.SortedFunc(slices.Values(controls), func(a, b string) int { return cmp.Compare(score(a), score(b)) })
+	return ranked[:originHolders]
+}
+
+func encodeOrigins(now time.Duration, records []origin.Record) *peer.Origins {
+	message := &peer.Origins{}
+	for _, r := range records {
+		i := slices.IndexFunc(message.Groups, func(g *peer.OriginGroup) bool {
+			return g.Service == r.Origin.Service && g.Software == r.Origin.Software && g.Several == r.Several
+		})
+		if i < 0 {
+			i = len(message.Groups)
+			message.Groups = append(message.Groups, &peer.OriginGroup{Service: r.Origin.Service, Software: r.Origin.Software, Several: r.Several})
+		}
+		group := message.Groups[i]
+		group.Streams = append(group.Streams, r.Key[:])
+		group.Remaining = append(group.Remaining, uint32(max(0, r.Until-now).Milliseconds()))
+	}
+	return message
+}
+
+// receive adds the records of another VM.
+func (o *origins) receive(m *peer.Origins) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.state.now()
+	for _, group := range m.GetGroups() {
+		for i, stream := range group.GetStreams() {
+			if len(stream) != len(origin.Key{}) || i >= len(group.GetRemaining()) {
+				continue
+			}
+			o.registry.Add(now, origin.Record{
+				Key: origin.Key(stream), Origin: origin.Origin{Service: group.GetService(), Software: group.GetSoftware()}, Several: group.GetSeveral(),
+				Until: now + time.Duration(group.GetRemaining()[i])*time.Millisecond,
+			})
+		}
+	}
+}
+
+// noteBoot sends all records again to a control VM that has started anew, which has lost them.
+func (o *origins) noteBoot(name string, boot uint64) {
+	o.mu.Lock()
+	isKnown := o.boots[name] == boot
+	o.boots[name] = boot
+	now := o.state.now()
+	o.mu.Unlock()
+	if isKnown {
+		return
+	}
+	if controls := o.mesh.controls(); slices.Contains(controls, name) {
+		o.mu.Lock()
+		records := o.registry.Records(now)
+		o.mu.Unlock()
+		o.send(now, records, controls, name)
+	}
+}
+
+// answer returns what this VM knows of a stream; the caller holds the lock.
+func (o *origins) answer(key []byte, service string, window time.Duration) (a origin.Answer) {
+	o.observe()
+	now := o.state.now()
+	if len(key) == len(origin.Key{}) {
+		a.Origin, a.Knowledge = o.registry.Find(now, origin.Key(key))
+	}
+	a.Sole, a.HasSole = o.history.Sole(now, service, window)
+	return a
+}
+
+// reply answers the question of another VM.
+func (o *origins) reply(from string, m *peer.OriginRequest) {
+	o.mu.Lock()
+	a := o.answer(m.GetStream(), m.GetService(), time.Duration(m.GetWindow())*time.Millisecond)
+	o.mu.Unlock()
+	o.mesh.mesh.Send(from, &peer.Envelope{Body: &peer.Envelope_OriginReply{OriginReply: &peer.OriginReply{
+		Id: m.GetId(), Knowledge: uint32(a.Knowledge), Service: a.Origin.Service, Software: a.Origin.Software, HasSole: a.HasSole, Sole: a.Sole,
+	}}})
+}
+
+// receiveReply passes the answer of another VM to its lookup.
+func (o *origins) receiveReply(from string, m *peer.OriginReply) {
+	isControl := slices.Contains(o.mesh.controls(), from)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lookup := o.lookups[m.GetId()]
+	if lookup == nil || m.GetKnowledge() > uint32(origin.Several) {
+		return
+	}
+	lookup.Add(from, isControl, origin.Answer{
+		Knowledge: origin.Knowledge(m.GetKnowledge()), Origin: origin.Origin{Service: m.GetService(), Software: m.GetSoftware()}, Sole: m.GetSole(), HasSole: m.GetHasSole(),
+	})
+	select {
+	case lookup.changed <- struct{}{}:
+	default:
+	}
+}
+
+// streamTime returns the time for which a stream can last with all its take-ups.
+func streamTime(table *route.Table) time.Duration {
+	longest := time.Duration(0)
+	if table != nil {
+		for i := range table.State.Routes {
+			longest = max(longest, table.State.Routes[i].Timeout)
+		}
+	}
+	return max(minStreamTime, min(streamTimes*longest, time.Hour))
+}
+
+// find returns where the stream of an attempt began that its caller takes up on a route to a service. The error is the refusal of a stream
+// whose origin nobody knows.
+func (o *origins) find(ctx context.Context, r *forward.PlacementRequest) (origin.Origin, error) {
+	o.looked.Add(1)
+	account, attempt, service := accountName(r.Account), r.Metadata.Resumes, ""
+	if r.Service != nil {
+		service = r.Service.Name
+	}
+	request := &peer.OriginRequest{Service: service, Window: uint32(streamTime(o.state.table.Load()).Milliseconds())}
+	if attempt != "" {
+		key := origin.NewKey(account, attempt)
+		request.Stream = key[:]
+	}
+	lookup, end := o.begin(request)
+	defer end()
+	o.ask(ctx, lookup, request, o.mesh.controls(), maxControlWait)
+	found, knowledge, isRecord := o.result(lookup)
+	if knowledge == origin.Unknown && attempt != "" {
+		if names := o.mesh.broadcastPeers.Load(); names != nil {
+			o.ask(ctx, lookup, request, *names, maxCellWait)
+			found, knowledge, isRecord = o.result(lookup)
+		}
+	}
+	entry := o.log.WithFields(log.Fields{"request": r.ID, "resumes": attempt, "service": found.Service, "software": found.Software, "record": isRecord, "age": time.Since(r.Arrived)})
+	if knowledge == origin.Known {
+		entry.Info("stream taken up")
+		return found, nil
+	}
+	o.missed.Add(1)
+	refusal := outcome.Refuse(outcome.OriginUnknown, "the software version that began the stream is not known, so that no upstream may go on with it; send the request again without its last event")
+	o.mu.Lock()
+	answered := lookup.Answered()
+	o.mu.Unlock()
+	if knowledge == origin.Several {
+		return found, refusal.WithCause(errors.New("streams of this attempt began at several software versions"))
+	}
+	if !answered {
+		return found, refusal.WithRetryAfter(maxControlWait).WithCause(errors.New("no control VM has answered"))
+	}
+	return found, refusal
+}
+
+// begin begins a lookup with what this VM knows itself; the returned function ends it.
+func (o *origins) begin(request *peer.OriginRequest) (*originLookup, func()) {
+	var listed []string
+	for _, u := range o.state.list.Load().Service(request.Service) {
+		listed = append(listed, u.Software)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	own := o.answer(request.Stream, request.Service, time.Duration(request.Window)*time.Millisecond)
+	lookup := &originLookup{Lookup: origin.NewLookup(request.Service, own, listed), changed: make(chan struct{}, 1)}
+	o.last++
+	request.Id = o.last
+	o.lookups[request.Id] = lookup
+	return lookup, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.lookups, request.Id)
+	}
+}
+
+// ask asks other VMs and waits until the origin is known, all have answered or the time is over.
+func (o *origins) ask(ctx context.Context, lookup *originLookup, request *peer.OriginRequest, names []string, limit time.Duration) {
+	o.mu.Lock()
+	if !lookup.Found() {
+		lookup.Ask(names)
+	}
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	repeat := time.NewTicker(originRepeat)
+	defer repeat.Stop()
+	due := true
+	for {
+		o.mu.Lock()
+		done := lookup.Done()
+		waiting := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !lookup.Waiting(name) })
+		o.mu.Unlock()
+		if done {
+			return
+		}
+		if due {
+			o.mesh.mesh.Broadcast(waiting, &peer.Envelope{Body: &peer.Envelope_OriginRequest{OriginRequest: request}})
+			due = false
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-repeat.C:
+			due = true
+		case <-lookup.changed:
+		}
+	}
+}
+
+func (o *origins) result(lookup *originLookup) (origin.Origin, origin.Knowledge, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return lookup.Result()
+}
+
+// lines returns the metrics, one a line.
+func (o *origins) lines() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return []string{
+		fmt.Sprintf("origins_held %d", o.registry.Len()), fmt.Sprintf("origins_recorded %d", o.recorded.Load()),
+		fmt.Sprintf("origins_looked_up %d", o.looked.Load()), fmt.Sprintf("origins_unknown %d", o.missed.Load()),
+	}
+}
--- a/relay/vm/run.go
+++ b/relay/vm/run.go
@@ -68,9 +68,9 @@
 	v.app = fx.New(
 		fx.Supply(s, settingsFile(path), reload, adapter, openDisk, fx.Annotate(v.log, fx.As(new(log.Interface)))),
 		fx.Provide(
-			newPauses, newPool, newBudget, newGuard, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newSilence, newAccountRates, newForwarder, newCounters, newOrderSender, newOperators,
+			newPauses, newPool, newBudget, newGuard, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newSilence, newAccountRates, newOrigins, newForwarder, newCounters, newOrderSender, newOperators,
 		),
-		fx.Invoke(runControl, runAccountRates, runPool, runWatch, runSilence, runCacheWatcher, runWeights, runSpeeds, runOrderSender, runOperators, runMetrics, runReload, runCallers),
+		fx.Invoke(runControl, runAccountRates, runPool, runWatch, runOrigins, runSilence, runCacheWatcher, runWeights, runSpeeds, runOrderSender, runOperators, runMetrics, runReload, runCallers),
 		fx.Invoke(func(f failureWatcher, stop fx.Shutdowner) { f.watch(v.failed, stop) }),
 		fx.StartTimeout(startupTimeout), fx.StopTimeout(s.Times.Stop), fx.NopLogger,
 	)
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -32,6 +32,8 @@
 	directory *directory.Directory
 	// listedAt is when the newest list in the directory was read, on the clock of the control state.
 	listedAt time.Duration
+	// readAt is when this VM itself last read the whole list, in nanoseconds of the clock of the control state; 0 if it has not.
+	readAt atomic.Int64
 	// registryTime returns the time of the replicated log, zero until a control VM has told it. It is set while the components are built.
 	registryTime func() time.Time
 	// current reports whether the desired state is the one in force, or was until a moment ago. It is set while the components are built.
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -124,6 +124,7 @@
 		w.log.WithField("upstreams", len(upstreams)).Info("platform list read again")
 		w.failing = false
 	}
+	w.state.readAt.Store(int64(startedAt))
 	w.state.setList(upstreams, startedAt, "list")
 	if leader {
 		w.host.PublishBoard(directory.Encode(w.state.list.Load().Upstreams), startedAt)
