Resume streams of a system with one software version after a restart

A control VM that starts the system for the first time knows that no stream is older. Control VMs keep the versions of the services in software.json for a restart of all VMs at once. One VM that has read the list for the whole time is enough now, while none knows of another version: control VMs that have just started don't know enough.

--- a/relay/origin/lookup.go
+++ b/relay/origin/lookup.go
@@ -5,27 +5,25 @@
 	Knowledge Knowledge
 	// Origin is valid if Knowledge is Known.
 	Origin Origin
-	// Sole is the only software version that the stream's service was listed with for longer than a stream lasts; it is valid if HasSole.
-	Sole    string
-	HasSole bool
+	// Listed has the versions that the stream's service was listed with for as long as a stream lasts.
+	Listed Listed
 }
 
 // Lookup combines what several VMs know of the origin of one stream.
 type Lookup struct {
-	own     Answer
 	service string
 	// listed are the versions that the service is listed with now.
 	listed  []string
 	waiting map[string]bool
 	found   Answer
-	// answers counts those of control VMs, and sole those among them whose sole version is software.
-	answers, sole int
-	software      string
+	// answers are those of this VM and of control VMs, whose lists are no older than its own; answered counts the latter.
+	answers  []Listed
+	answered int
 }
 
 // NewLookup returns a lookup for a stream of a service, with what this VM knows itself and the versions that the service is listed with.
 func NewLookup(service string, own Answer, listed []string) *Lookup {
-	return &Lookup{own: own, service: service, listed: listed, waiting: map[string]bool{}, found: own}
+	return &Lookup{service: service, listed: listed, waiting: map[string]bool{}, found: own, answers: []Listed{own.Listed}}
 }
 
 // Ask adds VMs whose answer is due.
@@ -35,7 +33,7 @@
 	}
 }
 
-// Waiting returns whether the answer of a VM is due.
+// Waiting reports whether the answer of a VM is due.
 func (l *Lookup) Waiting(name string) bool { return l.waiting[name] }
 
 // Add adds the answer of a VM; control is set for one of a control VM.
@@ -51,13 +49,9 @@
 	case a.Knowledge == Several || a.Origin != l.found.Origin:
 		l.found = Answer{Knowledge: Several}
 	}
-	if !control {
-		return
-	}
-	l.answers++
-	if a.HasSole && (l.sole == 0 || a.Sole == l.software) {
-		l.sole++
-		l.software = a.Sole
+	l.answers = append(l.answers, a.Listed)
+	if control {
+		l.answered++
 	}
 }
 
@@ -68,24 +62,36 @@
 func (l *Lookup) Done() bool { return l.Found() || len(l.waiting) == 0 }
 
 // Answered reports whether a control VM has answered.
-func (l *Lookup) Answered() bool { return l.answers > 0 }
+func (l *Lookup) Answered() bool { return l.answered > 0 }
 
-// Result returns the origin of the stream and from where it is known: a record, or that one version alone has served.
+// Result returns the origin of the stream and from where it is known: a record, or that one version alone has been listed.
 func (l *Lookup) Result() (origin Origin, knowledge Knowledge, isRecord bool) {
-	if l.found.Knowledge != Unknown {
+	if l.Found() {
 		return l.found.Origin, l.found.Knowledge, true
 	}
-	software, ok := l.own.Sole, l.own.HasSole
-	if l.answers > 0 {
-		software, ok = l.software, l.sole == l.answers
+	if software, ok := l.sole(); ok {
+		return Origin{Service: l.service, Software: software}, Known, false
 	}
-	if !ok {
-		return Origin{}, Unknown, false
+	return Origin{}, Unknown, false
+}
+
+// sole returns the only version that the service was listed with for as long as a stream lasts: one VM must have read the list for the
+// whole time, and none may know of another version.
+func (l *Lookup) sole() (software string, ok bool) {
+	if len(l.listed) == 0 {
+		return "", false
 	}
+	software = l.listed[0]
 	for _, listed := range l.listed {
 		if listed != software {
-			return Origin{}, Unknown, false
+			return "", false
+		}
+	}
+	for _, a := range l.answers {
+		if a.Count > 1 || a.Count == 1 && a.Software != software {
+			return "", false
 		}
+		ok = ok || a.Coverage == Full && a.Count == 1
 	}
-	return Origin{Service: l.service, Software: software}, Known, false
+	return software, ok
 }
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -54,7 +54,7 @@
 // initialises the replicated log: each seed writes the same initial state with incarnation 1, in any order, and can repeat an
 // interrupted attempt, since a VM has cast no vote before its identity is durable. Any other VM with an empty data folder gets a
 // new incarnation and votes only once the other voters have admitted it.
-func newVoter(s settings.Settings, openDisk diskOpener, logger log.Interface) (*control.Voter, error) {
+func newVoter(s settings.Settings, st *state, openDisk diskOpener, logger log.Interface) (*control.Voter, error) {
 	if s.Data == "" {
 		return nil, nil
 	}
@@ -72,6 +72,7 @@
 			if err := control.Bootstrap(disk, s.Name, names); err != nil {
 				return nil, err
 			}
+			st.isNewSystem = true
 			logger.WithField("voters", len(names)).Info("replicated log founded")
 		}
 	}
--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -61,6 +61,8 @@
 	last    uint64
 	// boots are the last incarnations of the other VMs.
 	boots map[string]uint64
+	// file is nil on a VM without a data folder.
+	file *originFile
 
 	recorded, looked, missed atomic.Uint64
 }
@@ -76,8 +78,19 @@
 	if s.Data != "" {
 		limit = maxControlRecords
 	}
+	var options []origin.HistoryOption
+	var file *originFile
+	if s.Data != "" {
+		file = &originFile{folder: s.Data, log: logger}
+		if saved, ok := file.read(time.Now()); ok {
+			options = append(options, origin.WithSaved(saved))
+		}
+	}
+	if st.isNewSystem {
+		options = append(options, origin.WithNewSystem())
+	}
 	o := &origins{
-		state: st, host: host, mesh: m, log: logger, registry: origin.NewRegistry(limit), history: origin.NewHistory(), lookups: map[uint64]*originLookup{}, boots: map[string]uint64{},
+		state: st, host: host, mesh: m, log: logger, registry: origin.NewRegistry(limit), history: origin.NewHistory(options...), lookups: map[uint64]*originLookup{}, boots: map[string]uint64{}, file: file,
 	}
 	m.origins = o
 	return o
@@ -87,11 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go runEvery(ctx, historyInterval, func() {
-				o.mu.Lock()
-				defer o.mu.Unlock()
-				o.observe()
-			})
+			go runEvery(ctx, historyInterval, o.tick)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -101,6 +110,17 @@
 	})
 }
 
+// tick enters the present list into the history, and writes it on a control VM.
+func (o *origins) tick() {
+	o.mu.Lock()
+	o.observe()
+	saved, ok := o.history.Save(o.state.now())
+	o.mu.Unlock()
+	if ok && o.file != nil {
+		o.file.write(time.Now(), saved)
+	}
+}
+
 // observe enters the present list into the history; the caller holds the lock.
 func (o *origins) observe() {
 	list := o.state.list.Load()
@@ -237,7 +257,7 @@
 	if len(key) == len(origin.Key{}) {
 		a.Origin, a.Knowledge = o.registry.Find(now, origin.Key(key))
 	}
-	a.Sole, a.HasSole = o.history.Sole(now, service, window)
+	a.Listed = o.history.Listed(now, service, window)
 	return a
 }
 
@@ -247,7 +267,8 @@
 	a := o.answer(m.GetStream(), m.GetService(), time.Duration(m.GetWindow())*time.Millisecond)
 	o.mu.Unlock()
 	o.mesh.mesh.Send(from, &peer.Envelope{Body: &peer.Envelope_OriginReply{OriginReply: &peer.OriginReply{
-		Id: m.GetId(), Knowledge: uint32(a.Knowledge), Service: a.Origin.Service, Software: a.Origin.Software, HasSole: a.HasSole, Sole: a.Sole,
+		Id: m.GetId(), Knowledge: uint32(a.Knowledge), Service: a.Origin.Service, Software: a.Origin.Software,
+		Count: uint32(a.Listed.Count), Sole: a.Listed.Software, Coverage: uint32(a.Listed.Coverage),
 	}}})
 }
 
@@ -261,7 +282,8 @@
 		return
 	}
 	lookup.Add(from, isControl, origin.Answer{
-		Knowledge: origin.Knowledge(m.GetKnowledge()), Origin: origin.Origin{Service: m.GetService(), Software: m.GetSoftware()}, Sole: m.GetSole(), HasSole: m.GetHasSole(),
+		Knowledge: origin.Knowledge(m.GetKnowledge()), Origin: origin.Origin{Service: m.GetService(), Software: m.GetSoftware()},
+		Listed: origin.Listed{Count: int(m.GetCount()), Software: m.GetSole(), Coverage: origin.Coverage(min(m.GetCoverage(), uint32(origin.Full)))},
 	})
 	select {
 	case lookup.changed <- struct{}{}:
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -36,6 +36,8 @@
 	readAt atomic.Int64
 	// registryTime returns the time of the replicated log, zero until a control VM has told it. It is set while the components are built.
 	registryTime func() time.Time
+	// isNewSystem is set on a control VM that starts the system for the first time, while the components are built.
+	isNewSystem bool
 	// current reports whether the desired state is the one in force, or was until a moment ago. It is set while the components are built.
 	current func() bool
 	// onChange is called after each change of the routes, weights versions, upstreams or roster, in part while mu is locked. It is
