Refuse take-ups for good once their software version has left

The refusal has a kind of its own now, says that the request has not run and what to send instead, and names no time.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -325,6 +325,11 @@
 	if !errors.As(err, &refusal) {
 		refusal = outcome.Refuse(outcome.NoUpstream, "no upstream accepts the request now; retry after the time in Retry-After").WithCause(err)
 	}
+	if refusal.Kind == outcome.SoftwareGone {
+		// The stream can't go on, whenever its caller returns.
+		s.refuse(refusal, 0)
+		return
+	}
 	s.refuse(refusal, refusal.RetryAfter+s.retryAfter())
 }
 
--- a/relay/outcome/refusal.go
+++ b/relay/outcome/refusal.go
@@ -35,6 +35,7 @@
 	Quarantined        Kind = "quarantined"
 	AccountRate        Kind = "account_rate"
 	OriginUnknown      Kind = "origin_unknown"
+	SoftwareGone       Kind = "software_gone"
 )
 
 var statusByKind = map[Kind]int{
@@ -63,6 +64,7 @@
 	AccountRate:  http.StatusTooManyRequests,
 	// The request has not run; an upstream of another version must not go on with the stream.
 	OriginUnknown: http.StatusServiceUnavailable,
+	SoftwareGone:  http.StatusServiceUnavailable,
 }
 
 // Kinds returns every refusal kind in no particular order.
--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -179,6 +179,9 @@
 	placement, err := place(ctx, r)
 	var refusal *outcome.Refusal
 	if errors.As(err, &refusal) && refusal.Kind == outcome.NoUpstream {
+		if r.Software != nil && !p.staysListed(r) {
+			return nil, outcome.Refuse(outcome.SoftwareGone, "no upstream runs the software version that began the stream any more; send the request again without its last event")
+		}
 		err = refusal.WithRetryAfter(earliestEnd(p.state.list.Load().Service(r.Service.Name), p.pauses))
 	}
 	return placement, err
@@ -214,6 +217,13 @@
 	}
 }
 
+// staysListed reports whether an upstream of the software version that a request is bound to is listed and does not leave.
+func (p *placer) staysListed(r *forward.PlacementRequest) bool {
+	return slices.ContainsFunc(p.state.list.Load().Service(r.Service.Name), func(u *directory.Upstream) bool {
+		return u.Software == *r.Software && !u.Leaving
+	})
+}
+
 // loadsSoftware reports whether an engine of the software version that a request is bound to takes none only while it loads weights.
 func (p *placer) loadsSoftware(r *forward.PlacementRequest) bool {
 	return r.Software != nil && slices.ContainsFunc(p.state.list.Load().Service(r.Service.Name), func(u *directory.Upstream) bool {
