Complete the records of streams at control VMs that lack them

Records were sent once: those made while a session to a control VM was closed, or lost with one that started anew, were missing there until the VM that made them had ended as well, after which their streams were refused.

--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -59,8 +59,8 @@
 	pending []origin.Record
 	lookups map[uint64]*originLookup
 	last    uint64
-	// boots are the last incarnations of the other VMs.
-	boots map[string]uint64
+	// boots are the last incarnations of the other VMs, completed those of the control VMs that have got all records.
+	boots, completed map[string]uint64
 	// file is nil on a VM without a data folder.
 	file *originFile
 
@@ -90,7 +90,7 @@
 		options = append(options, origin.WithNewSystem())
 	}
 	o := &origins{
-		state: st, host: host, mesh: m, log: logger, registry: origin.NewRegistry(limit), history: origin.NewHistory(options...), lookups: map[uint64]*originLookup{}, boots: map[string]uint64{}, file: file,
+		state: st, host: host, mesh: m, log: logger, registry: origin.NewRegistry(limit), history: origin.NewHistory(options...), lookups: map[uint64]*originLookup{}, boots: map[string]uint64{}, completed: map[string]uint64{}, file: file,
 	}
 	m.origins = o
 	return o
@@ -110,8 +110,9 @@
 	})
 }
 
-// tick enters the present list into the history, and writes it on a control VM.
+// tick enters the present list into the history, and writes it on a control VM; it completes the records of others.
 func (o *origins) tick() {
+	o.complete()
 	o.mu.Lock()
 	o.observe()
 	saved, ok := o.history.Save(o.state.now())
@@ -166,25 +167,23 @@
 	o.pending = nil
 	now := o.state.now()
 	o.mu.Unlock()
-	o.send(now, records, o.mesh.controls())
+	controls := o.mesh.controls()
+	for _, name := range controls {
+		o.send(now, records, controls, name)
+	}
 }
 
-// send sends each record to those of the control VMs that hold it.
-func (o *origins) send(now time.Duration, records []origin.Record, controls []string, only ...string) {
-	for _, name := range controls {
-		if len(only) > 0 && !slices.Contains(only, name) {
-			continue
-		}
-		var held []origin.Record
-		for _, r := range records {
-			if slices.Contains(holdersOf(r.Key, controls), name) {
-				held = append(held, r)
-			}
-		}
-		if len(held) > 0 {
-			o.mesh.mesh.Send(name, &peer.Envelope{Body: &peer.Envelope_Origins{Origins: encodeOrigins(now, held)}})
+// send sends those of the records to a control VM that it holds.
+func (o *origins) send(now time.Duration, records []origin.Record, controls []string, name string) {
+	var held []origin.Record
+	for _, r := range records {
+		if slices.Contains(holdersOf(r.Key, controls), name) {
+			held = append(held, r)
 		}
 	}
+	if len(held) > 0 {
+		o.mesh.mesh.Send(name, &peer.Envelope{Body: &peer.Envelope_Origins{Origins: encodeOrigins(now, held)}})
+	}
 }
 
 // holdersOf returns the control VMs that hold a record, the same at every VM.
@@ -232,20 +231,41 @@
 	}
 }
 
-// noteBoot sends all records again to a control VM that has started anew, which has lost them.
+// noteBoot records the incarnation of another VM that has sent a message.
 func (o *origins) noteBoot(name string, boot uint64) {
 	o.mu.Lock()
-	isKnown := o.boots[name] == boot
+	defer o.mu.Unlock()
 	o.boots[name] = boot
+}
+
+// complete sends all records to the control VMs that may lack some: those that have started anew or joined, and those whose session was
+// closed since.
+func (o *origins) complete() {
+	controls, connected := o.mesh.controls(), o.mesh.mesh.Connected()
+	var lacking []string
+	o.mu.Lock()
 	now := o.state.now()
-	o.mu.Unlock()
-	if isKnown {
-		return
+	for _, name := range controls {
+		boot := o.boots[name]
+		switch {
+		case !slices.Contains(connected, name):
+			delete(o.completed, name)
+		case boot != 0 && o.completed[name] != boot:
+			o.completed[name] = boot
+			lacking = append(lacking, name)
+		}
 	}
-	if controls := o.mesh.controls(); slices.Contains(controls, name) {
-		o.mu.Lock()
-		records := o.registry.Records(now)
-		o.mu.Unlock()
+	for name := range o.completed {
+		if !slices.Contains(controls, name) {
+			delete(o.completed, name)
+		}
+	}
+	var records []origin.Record
+	if len(lacking) > 0 {
+		records = o.registry.Records(now)
+	}
+	o.mu.Unlock()
+	for _, name := range lacking {
 		o.send(now, records, controls, name)
 	}
 }
