--- a/relay/origin/origin_test.go
+++ b/relay/origin/origin_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -289,3 +290,18 @@
 		Expect(l.Answered()).To(BeTrue())
 	})
 })
+
+// BenchmarkAdd adds records to a full registry, as at a control VM.
+func BenchmarkAdd(b *testing.B) {
+	r := origin.NewRegistry(1 << 18)
+	var key origin.Key
+	b.ReportAllocs()
+	now := time.Duration(0)
+	for i := 0; b.Loop(); i++ {
+		for j := range 8 {
+			key[j] = byte(i >> (8 * j))
+		}
+		now += 100 * time.Microsecond
+		r.Add(now, origin.Record{Key: key, Origin: origin.Origin{Service: "llm", Software: "v1"}, Until: now + 20*time.Second})
+	}
+}
--- /dev/null
+++ b/relay/vm/origins_test.go
@@ -0,0 +1,98 @@
+package vm
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/origin"
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+)
+
+// recordsOf returns the records of a number of streams that began at two versions.
+func recordsOf(count int) (records []origin.Record) {
+	for i := range count {
+		records = append(records, origin.Record{
+			Key: origin.NewKey("baths", fmt.Sprint(i)), Origin: origin.Origin{Service: "kiosk", Software: fmt.Sprint("v", 1+i%2)}, Until: 20 * time.Second,
+		})
+	}
+	return records
+}
+
+func newTestOrigins(limit int) *origins {
+	return &origins{state: &state{started: time.Now()}, registry: origin.NewRegistry(limit), history: origin.NewHistory(), lookups: map[uint64]*originLookup{}}
+}
+
+var _ = Describe("records of streams", func() {
+	It("reach a control VM with their origins and the time for which they are kept", func() {
+		o := newTestOrigins(100)
+		records := recordsOf(5)
+		records[4].Several = true
+		o.receive(encodeOrigins(0, records))
+		for i, r := range records {
+			found, knowledge := o.registry.Find(o.state.now(), r.Key)
+			if i == 4 {
+				Expect(knowledge).To(Equal(origin.Several))
+				continue
+			}
+			Expect(knowledge).To(Equal(origin.Known))
+			Expect(found).To(Equal(r.Origin))
+		}
+		_, knowledge := o.registry.Find(o.state.now()+22*time.Second, records[0].Key)
+		Expect(knowledge).To(Equal(origin.Unknown))
+	})
+
+	It("are taken from no message with keys or times that are missing", func() {
+		o := newTestOrigins(100)
+		o.receive(&peer.Origins{Groups: []*peer.OriginGroup{
+			{Service: "kiosk", Software: "v1", Streams: [][]byte{{1, 2, 3}, make([]byte, 16)}, Remaining: []uint32{1000}}, nil,
+		}})
+		Expect(o.registry.Len()).To(BeZero())
+	})
+
+	// Guards against records that grow with the number of control VMs, and against VMs that disagree on who holds one.
+	It("are held by three control VMs, which all VMs choose alike, and evenly", func() {
+		controls := []string{"c1", "c2", "c3", "c4", "c5", "c6", "c7"}
+		reversed := []string{"c7", "c6", "c5", "c4", "c3", "c2", "c1"}
+		held := map[string]int{}
+		for _, r := range recordsOf(700) {
+			holders := holdersOf(r.Key, controls)
+			Expect(holders).To(HaveLen(originHolders))
+			Expect(holdersOf(r.Key, reversed)).To(Equal(holders))
+			for _, name := range holders {
+				held[name]++
+			}
+		}
+		for _, name := range controls {
+			Expect(held[name]).To(BeNumerically("~", 300, 75))
+		}
+		Expect(holdersOf(origin.Key{}, controls[:2])).To(ConsistOf("c1", "c2"))
+	})
+})
+
+// BenchmarkOrigins receives messages with the records of one VM's new streams at a control VM.
+func BenchmarkOrigins(b *testing.B) {
+	for _, count := range []int{1, 28} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			o := newTestOrigins(maxControlRecords)
+			message := &peer.Envelope{Body: &peer.Envelope_Origins{Origins: encodeOrigins(0, recordsOf(count))}}
+			b.ReportMetric(float64(proto.Size(message)), "B/message")
+			for b.Loop() {
+				data, err := proto.Marshal(message)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var received peer.Envelope
+				if err := proto.Unmarshal(data, &received); err != nil {
+					b.Fatal(err)
+				}
+				o.receive(received.GetOrigins())
+			}
+			b.ReportMetric(float64(proto.Size(message)), "B/message")
+		})
+	}
+}
