Send the record of a stream at once after a pause

Callers whose entry VM ended right after the first event of their stream could not take it up: the record waited up to 20 ms for further ones, and longer with many VMs, and was lost with the VM. Control VMs that were asked in that time answered that they know nothing.

The first record after a pause is now sent at once, and the next message after the interval as before, so that no more messages are sent in a time than the interval allows.

--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -26,8 +26,8 @@
 const (
 	// originHolders is the number of control VMs that get the record of a stream.
 	originHolders = 3
-	// originInterval is the time in which the records of new streams are sent together. It grows with the VMs like the interval of
-	// digests, so that the messages at a control VM don't.
+	// originInterval is the least time between two messages with the records of new streams, of which the first one after a pause is sent
+	// at once. It grows with the VMs like the interval of digests, so that the messages at a control VM don't.
 	originInterval = 20 * time.Millisecond
 	// historyInterval is the interval at which the list of upstreams is entered into the history.
 	historyInterval = 500 * time.Millisecond
@@ -57,8 +57,10 @@
 	history  *origin.History
 	// pending are the records that are still to be sent.
 	pending []origin.Record
-	lookups map[uint64]*originLookup
-	last    uint64
+	// flushedAt is when records were last sent.
+	flushedAt time.Duration
+	lookups   map[uint64]*originLookup
+	last      uint64
 	// boots are the last incarnations of the other VMs.
 	boots map[string]uint64
 
@@ -125,7 +127,8 @@
 	r := origin.Record{Key: origin.NewKey(account, attempt), Origin: at, Until: now + time.Until(until)}
 	o.registry.Add(now, r)
 	if o.pending = append(o.pending, r); len(o.pending) == 1 {
-		time.AfterFunc(originInterval*time.Duration(intervalFactor(callerVMs(o.state.vms.Load()))), o.flush)
+		interval := originInterval * time.Duration(intervalFactor(callerVMs(o.state.vms.Load())))
+		time.AfterFunc(max(0, o.flushedAt+interval-now), o.flush)
 	}
 }
 
@@ -143,8 +146,8 @@
 func (o *origins) flush() {
 	o.mu.Lock()
 	records := o.pending
-	o.pending = nil
 	now := o.state.now()
+	o.pending, o.flushedAt = nil, now
 	o.mu.Unlock()
 	o.send(now, records, o.mesh.controls())
 }
