--- a/relay/origin/lookup.go
+++ b/relay/origin/lookup.go
@@ -76,9 +76,10 @@
 }
 
 // sole returns the only version that the service was listed with for as long as a stream lasts: one VM must have read the list for the
-// whole time, and none may know of another version.
+// whole time, and none may know of another version. The list of a VM that reaches no control VM may be older than the first streams of a
+// new version.
 func (l *Lookup) sole() (software string, ok bool) {
-	if len(l.listed) == 0 {
+	if len(l.listed) == 0 || l.answered == 0 {
 		return "", false
 	}
 	software = l.listed[0]
