Let the stand-in engine tell its software version

Nothing on the daemon's path showed whether a stream had changed the software version of its engine, as the stand-in had none. A request whose X-Software names another version, as that of a stream which began elsewhere, is refused like one for other weights.

--- a/standin/cmd_engine.go
+++ b/standin/cmd_engine.go
@@ -44,6 +44,7 @@
 	flags.StringVar(&settings.Version.Model, "model", settings.Version.Model, "model served")
 	flags.StringVar(&settings.Version.Adapter, "adapter", settings.Version.Adapter, "adapter served")
 	flags.StringVar(&settings.Version.Weights, "weights", settings.Version.Weights, "weights version served")
+	flags.StringVar(&settings.Software, "software", settings.Software, "software version told in answers and load reports; empty tells none")
 	flags.IntVar(&settings.Slots, "slots", settings.Slots, "maximum number of requests in a batch")
 	flags.Float64Var(&settings.Prefill, "prefill", settings.Prefill, "prefill rate of the whole batch in prompt tokens per second")
 	flags.Float64Var(&settings.Decode, "decode", settings.Decode, "decode rate of a single request in output tokens per second")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -118,6 +118,9 @@
 // Version returns the version that the engine serves.
 func (e *Engine) Version() Version { return e.settings.Version }
 
+// Software returns the software version that the engine tells; empty tells none.
+func (e *Engine) Software() string { return e.settings.Software }
+
 // Incarnation returns the incarnation of the current start.
 func (e *Engine) Incarnation() uint64 { return e.incarnation }
 
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -9,10 +9,11 @@
 type Report struct {
 	Incarnation uint64 `json:"incarnation"`
 	Version
-	Role    string `json:"role,omitempty"`
-	Slots   int    `json:"slots"`
-	Running int    `json:"running"`
-	Waiting int    `json:"waiting"`
+	Software string `json:"software,omitempty"`
+	Role     string `json:"role,omitempty"`
+	Slots    int    `json:"slots"`
+	Running  int    `json:"running"`
+	Waiting  int    `json:"waiting"`
 	// Queued is the number of tokens still to be prefilled; Cached is the number of tokens in the prefix cache.
 	Queued  int           `json:"queued"`
 	Cached  int           `json:"cached"`
@@ -41,7 +42,7 @@
 
 func (e *Engine) currentReport() Report {
 	r := Report{
-		Incarnation: e.incarnation, Version: e.settings.Version, Role: e.orders.role, Slots: e.settings.Slots,
+		Incarnation: e.incarnation, Version: e.settings.Version, Software: e.settings.Software, Role: e.orders.role, Slots: e.settings.Slots,
 		Running: len(e.running), Waiting: len(e.waiting), Cached: e.cache.tokens(),
 		Leaving: e.leaving, Loading: e.orders.loading != nil, Fencing: e.orders.fencing, At: e.now,
 	}
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -19,6 +19,8 @@
 // Settings are the properties of an engine.
 type Settings struct {
 	Version Version
+	// Software is the version of the engine's own software, which it tells in answers and load reports; empty tells none.
+	Software string
 	// Slots is the maximum number of requests in a batch.
 	Slots int
 	// Prefill is the prefill rate of the whole batch in tokens per second.
@@ -77,6 +79,9 @@
 // WithVersion sets the version that the engine serves.
 func WithVersion(version Version) Option { return func(s *Settings) { s.Version = version } }
 
+// WithSoftware sets the software version that the engine tells.
+func WithSoftware(software string) Option { return func(s *Settings) { s.Software = software } }
+
 // WithBatch sets the number of slots and the prefill and decode rates in tokens per second.
 func WithBatch(slots int, prefill, decode float64) Option {
 	return func(s *Settings) { s.Slots, s.Prefill, s.Decode = slots, prefill, decode }
--- a/standin/replica/answer.go
+++ b/standin/replica/answer.go
@@ -19,6 +19,7 @@
 	id           string
 	prompt       Prompt
 	version      engine.Version
+	software     string
 	promptTokens int
 	resumeFrom   int
 	box          *inbox
@@ -52,7 +53,9 @@
 		}
 		switch last := events[len(events)-1]; last.Kind {
 		case engine.Finish:
-			s.writeJSON(w, r, http.StatusOK, c.prompt.completion(c.id, c.version, c.resumeFrom, c.promptTokens, last.Cached))
+			answer := c.prompt.completion(c.id, c.version, c.resumeFrom, c.promptTokens, last.Cached)
+			answer.Fingerprint = c.software
+			s.writeJSON(w, r, http.StatusOK, answer)
 			return
 		case engine.Broken:
 			panic(http.ErrAbortHandler)
@@ -83,9 +86,10 @@
 	}
 	s.runner.withEngine(func(_ time.Duration, e *engine.Engine) {
 		request.Chain = engine.Blocks(c.prompt.Text, e.BlockTokens())
+		c.software = e.Software()
 	})
 	c.promptTokens, c.resumeFrom = request.Prompt, request.From
-	c.box, c.version, err = s.runner.submit(request, r.Header.Get("X-Weights"))
+	c.box, c.version, err = s.runner.submit(request, r.Header.Get("X-Weights"), r.Header.Get("X-Software"))
 	return c, err
 }
 
@@ -135,14 +139,14 @@
 func (c *call) send(w http.ResponseWriter, event engine.Event) {
 	if due(c.fault.Cross, c.sent) {
 		otherID := c.server.runner.otherID(c.id)
-		writeEvent(w, fmt.Sprintf("%s:%d", otherID, event.Seq), c.prompt.streamChunk(otherID, c.version, event))
+		writeEvent(w, fmt.Sprintf("%s:%d", otherID, event.Seq), c.chunk(otherID, event))
 	}
 	repeats := 1
 	if due(c.fault.Duplicate, c.sent) {
 		repeats = 2
 	}
 	for range repeats {
-		writeEvent(w, fmt.Sprintf("%s:%d", c.id, event.Seq), c.prompt.streamChunk(c.id, c.version, event))
+		writeEvent(w, fmt.Sprintf("%s:%d", c.id, event.Seq), c.chunk(c.id, event))
 	}
 	if event.Kind != engine.Finish {
 		c.sent++
@@ -156,6 +160,13 @@
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// chunk returns the chunk for one engine event, which tells the engine's software version as the OpenAI API does.
+func (c *call) chunk(id string, event engine.Event) Chunk {
+	chunk := c.prompt.streamChunk(id, c.version, event)
+	chunk.Fingerprint = c.software
+	return chunk
+}
+
 // applyFaults applies the faults that are due after the tokens sent so far.
 func (c *call) applyFaults() {
 	if due(c.fault.Crash, c.sent) {
--- a/standin/replica/chunk.go
+++ b/standin/replica/chunk.go
@@ -23,6 +23,8 @@
 	Model   string   `json:"model"`
 	Choices []Choice `json:"choices"`
 	Usage   *Usage   `json:"usage,omitempty"`
+	// Fingerprint is the engine's software version.
+	Fingerprint string `json:"system_fingerprint,omitempty"`
 }
 
 // Choice is the only choice of a chunk; chats use Delta in streams and Message otherwise, completions use Text.
--- a/standin/replica/host.go
+++ b/standin/replica/host.go
@@ -105,14 +105,18 @@
 	notify(r.wake)
 }
 
-// submit queues a request and returns the version that serves it; weights, if not empty, must be the weights version served.
-func (r *runner) submit(request engine.Request, weights string) (*inbox, engine.Version, error) {
+// submit queues a request and returns the version that serves it; weights and software, if not empty, must be the versions served.
+func (r *runner) submit(request engine.Request, weights, software string) (*inbox, engine.Version, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if served := r.engine.Version().Weights; weights != "" && weights != served {
 		return nil, engine.Version{}, oops.Code("version").
 			Errorf("X-Weights: this engine serves weights %s, not %s; send the request to another replica", served, weights)
 	}
+	if served := r.engine.Software(); software != "" && software != served {
+		return nil, engine.Version{}, oops.Code("version").
+			Errorf("X-Software: this engine runs software %q, not %q, with which the stream began; send the request to another replica", served, software)
+	}
 	if err := r.engine.Submit(r.clock.Now(), request); err != nil {
 		return nil, engine.Version{}, err
 	}
--- a/standin/replica/replica_test.go
+++ b/standin/replica/replica_test.go
@@ -27,10 +27,14 @@
 	url string
 }
 
-func start(opts ...replica.Option) testServer {
+func start(opts ...replica.Option) testServer { return startWith(func(*engine.Settings) {}, opts...) }
+
+// startWith starts an engine whose settings are changed first.
+func startWith(change func(*engine.Settings), opts ...replica.Option) testServer {
 	opts = append(opts, replica.WithLogger(&log.Logger{Handler: discard.New()}), replica.WithReset(true))
 	settings := engine.Default()
 	settings.Slots, settings.Prefill, settings.Decode, settings.Loading, settings.Fetched = 8, 1e6, 2000, time.Millisecond, true
+	change(&settings)
 	server := replica.New(engine.New(engine.WithSettings(settings)), opts...)
 	httpServer := httptest.NewUnstartedServer(nil)
 	httpServer.Config = server.HTTP()
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -88,7 +88,7 @@
 	return router
 }
 
-// emulateNetwork adds the network delay, blocks requests on silent connections, and sets the header X-Incarnation.
+// emulateNetwork adds the network delay, blocks requests on silent connections, and sets the headers X-Incarnation and X-Software.
 func (s *Server) emulateNetwork(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.blockIfSilent(r.Context())
@@ -101,6 +101,9 @@
 		}
 		s.runner.withEngine(func(_ time.Duration, e *engine.Engine) {
 			w.Header().Set("X-Incarnation", strconv.FormatUint(e.Incarnation(), 10))
+			if software := e.Software(); software != "" {
+				w.Header().Set("X-Software", software)
+			}
 		})
 		next.ServeHTTP(w, r)
 	})
