--- a/bench/cmd_up.go
+++ b/bench/cmd_up.go
@@ -94,6 +94,7 @@
 	flags.StringVar(&plan.Policy, "policy", plan.Policy, "routing policy of the relays")
 	flags.StringVar(&plan.Model, "model", plan.Model, "model that the engines serve")
 	flags.StringVar(&plan.Version, "version", plan.Version, "weights version that the engines serve")
+	flags.StringSliceVar(&plan.Software, "software", nil, "software versions that the engines tell, assigned in turn, such as 1.0,1.1; none if it is not set")
 	flags.IntVar(&plan.Slots, "slots", plan.Slots, "largest number of requests in an engine's batch")
 	flags.IntVar(&plan.Cache, "cache", plan.Cache, "size of an engine's prefix cache in tokens")
 	flags.BoolVar(&plan.Fenced, "fenced", plan.Fenced, "make engines refuse orders with an old fencing number")
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -103,6 +103,7 @@
 	flags := []string{
 		"--model", plan.Model, "--weights", plan.Version, "--slots", strconv.Itoa(plan.Slots), "--cache", strconv.Itoa(plan.Cache),
 		"--fenced=" + strconv.FormatBool(plan.Fenced), "--seed", strconv.Itoa(i + 1),
+		"--software", plan.software(i),
 	}
 	if plan.Weights {
 		flags = append(flags, "--store", plan.address(weightsPort).String())
--- a/bench/fleet/objects.go
+++ b/bench/fleet/objects.go
@@ -31,7 +31,7 @@
 		name := fmt.Sprintf("engine%d", i+1)
 		add(catalogue.KindUpstream, name, catalogue.Upstream{
 			Name: name, Address: p.engineAddress(i), DataCentre: p.centre(i), Region: p.region(i), Kind: catalogue.Engine,
-			Model: p.Model, Weights: p.Version, Slots: p.Slots, Cache: p.Cache, Fenced: p.Fenced, State: catalogue.Active,
+			Model: p.Model, Weights: p.Version, Software: p.software(i), Slots: p.Slots, Cache: p.Cache, Fenced: p.Fenced, State: catalogue.Active,
 		})
 	}
 	for i := range p.Services {
--- a/bench/fleet/plan.go
+++ b/bench/fleet/plan.go
@@ -46,6 +46,8 @@
 	Policy   string
 	Model    string
 	Version  string
+	// Software are the software versions of the engines, assigned to them in turn; none is told or configured if there are none.
+	Software []string
 	Slots    int
 	Cache    int
 	Fenced   bool
@@ -90,6 +92,14 @@
 
 func (p *Plan) region(i int) string { return fmt.Sprintf("region%d", i%p.Centres%p.Regions+1) }
 
+// software returns the software version of engine number i; empty means none.
+func (p *Plan) software(i int) string {
+	if len(p.Software) == 0 {
+		return ""
+	}
+	return p.Software[i%len(p.Software)]
+}
+
 func vmName(i int) string { return fmt.Sprintf("vm%d", i+1) }
 
 func (p *Plan) callerAddress(i int) netip.AddrPort { return p.address(relayPorts + relayStride*i) }
--- a/bench/fleet/plan_test.go
+++ b/bench/fleet/plan_test.go
@@ -37,6 +37,28 @@
 		Expect(c.Rule("booking", "POST", "/slots").Idempotent).To(BeFalse())
 	})
 
+	It("assigns the software versions to the engines in turn, and none without them", func() {
+		plan := example()
+		for _, versions := range [][]string{nil, {"1.0", "1.1"}} {
+			plan.Software = versions
+			objects, err := plan.objects()
+			Expect(err).NotTo(HaveOccurred())
+			c, err := catalogue.New(1, objects)
+			Expect(err).NotTo(HaveOccurred())
+			var software []string
+			for _, u := range c.Upstreams {
+				if u.Kind == catalogue.Engine {
+					software = append(software, u.Software)
+				}
+			}
+			want := []string{"", "", "", "", ""}
+			if versions != nil {
+				want = []string{"1.0", "1.1", "1.0", "1.1", "1.0"}
+			}
+			Expect(software).To(Equal(want))
+		}
+	})
+
 	It("sets a data folder for voters only, and the same voters for every relay", func() {
 		plan := example()
 		for i := range plan.Relays {
