--- a/relay/gateway/fake_test.go
+++ b/relay/gateway/fake_test.go
@@ -20,7 +20,12 @@
 type fakeEngine struct {
 	server *httptest.Server
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// software is the version that each event shows; it is told in the header of answers unless untold is set.
+	software string
+	untold   bool
+	// breakFresh limits breakAt to requests that resume nothing.
+	breakFresh  bool
 	breakAt     int
 	foreignAt   int
 	duplicateAt int
@@ -51,7 +56,7 @@
 func (e *fakeEngine) upstream(name, weights string) catalogue.Upstream {
 	return catalogue.Upstream{
 		Name: name, Address: netip.MustParseAddrPort(e.server.Listener.Addr().String()), DataCentre: "c", Region: "r",
-		Kind: catalogue.Engine, Model: "m", Weights: weights, Slots: 8, State: catalogue.Active,
+		Kind: catalogue.Engine, Model: "m", Weights: weights, Software: e.software, Slots: 8, State: catalogue.Active,
 	}
 }
 
@@ -62,7 +67,7 @@
 	e.mu.Unlock()
 	body, _ := io.ReadAll(r.Body)
 	if crashOn != "" && strings.Contains(string(body), crashOn) {
-		event(w, r.Header.Get("X-Request-Id"), 0, answerTokens)
+		e.event(w, r.Header.Get("X-Request-Id"), 0)
 		panic(http.ErrAbortHandler)
 	}
 	if strings.Contains(string(body), endlessPrompt) {
@@ -111,6 +116,14 @@
 	e.mu.Unlock()
 	id := r.Header.Get("X-Request-Id")
 	from, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
+	e.mu.Lock()
+	if from > 0 && e.breakFresh {
+		breakAt = -1
+	}
+	if e.software != "" && !e.untold {
+		w.Header().Set("X-Software", e.software)
+	}
+	e.mu.Unlock()
 	w.Header().Set("X-Incarnation", "7")
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := w.(http.Flusher)
@@ -129,24 +142,32 @@
 			e.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		case foreignAt:
-			event(w, "another-request", i, answerTokens)
+			e.event(w, "another-request", i)
 		case duplicateAt:
-			event(w, id, i, answerTokens)
+			e.event(w, id, i)
 		case skipAt:
 			continue
 		}
-		event(w, id, i, answerTokens)
+		e.event(w, id, i)
 	}
 	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":5}}}\n\n", id, answerTokens)
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-func event(w http.ResponseWriter, id string, i, last int) {
+// event sends an event that shows the engine's software version.
+func (e *fakeEngine) event(w http.ResponseWriter, id string, i int) {
+	e.mu.Lock()
+	software := e.software
+	e.mu.Unlock()
+	event(w, id, i, software)
+}
+
+func event(w http.ResponseWriter, id string, i int, software string) {
 	delta, reason := fmt.Sprintf(`{"content":"t%d "}`, i), "null"
-	if i == last {
+	if i == answerTokens {
 		delta, reason = "{}", `"stop"`
 	}
-	_, _ = fmt.Fprintf(w, "id: %s:%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":%s,\"finish_reason\":%s}]}\n\n", id, i, id, delta, reason)
+	_, _ = fmt.Fprintf(w, "id: %s:%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":\"m\",\"system_fingerprint\":%q,\"choices\":[{\"index\":0,\"delta\":%s,\"finish_reason\":%s}]}\n\n", id, i, id, software, delta, reason)
 	w.(http.Flusher).Flush()
 }
 
--- a/relay/gateway/gateway_test.go
+++ b/relay/gateway/gateway_test.go
@@ -27,14 +27,29 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
 )
 
-// harness is a gateway with fake engines as its upstreams.
+// harness is a gateway, or several of them, with fake engines as its upstreams.
 type harness struct {
-	server  *httptest.Server
-	engines []*fakeEngine
-	records chan gateway.RequestRecord
+	// server is the first of the gateways.
+	server    *httptest.Server
+	servers   []*httptest.Server
+	engines   []*fakeEngine
+	records   chan gateway.RequestRecord
+	catalogue atomic.Pointer[catalogue.Catalogue]
 }
 
+// engineVersion is what a fake engine serves.
+type engineVersion struct{ weights, software string }
+
 func newHarness(weights ...string) *harness {
+	var versions []engineVersion
+	for _, w := range weights {
+		versions = append(versions, engineVersion{weights: w})
+	}
+	return newHarnessOf(1, versions...)
+}
+
+// newHarnessOf returns a number of gateways with an engine for each version.
+func newHarnessOf(gateways int, versions ...engineVersion) *harness {
 	h := &harness{records: make(chan gateway.RequestRecord, 16)}
 	key := catalogue.HashKey("secret")
 	c, err := catalogue.New(1, []catalogue.Object{
@@ -42,37 +57,51 @@
 		{Kind: "assistant", Name: "recipes", Value: json.RawMessage(`{"model":"m"}`)},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	for i, w := range weights {
+	for i, version := range versions {
 		engine := newFakeEngine()
+		engine.software = version.software
 		h.engines = append(h.engines, engine)
-		c.Upstreams = append(c.Upstreams, engine.upstream(fmt.Sprintf("u%d", i), w))
+		c.Upstreams = append(c.Upstreams, engine.upstream(fmt.Sprintf("u%d", i), version.weights))
 	}
+	h.catalogue.Store(c)
 	var ids atomic.Int64
+	for range gateways {
+		h.startGateway(func() string { return fmt.Sprintf("req%d", ids.Add(1)) })
+	}
+	h.server = h.servers[0]
+	DeferCleanup(h.close)
+	return h
+}
+
+func (h *harness) startGateway(newID func() string) {
+	d := newDispatcher(h.catalogue.Load())
 	g := gateway.New(
-		gateway.WithConfiguration(func() gateway.Configuration { return gateway.Configuration{Catalogue: c, Leased: true} }),
-		gateway.WithAcquire(acquire(c)),
+		gateway.WithConfiguration(func() gateway.Configuration {
+			return gateway.Configuration{Catalogue: h.catalogue.Load(), Leased: true}
+		}),
+		gateway.WithAcquire(d.Acquire),
 		gateway.WithClient(upstream.New(upstream.WithReadTimeout(50*time.Millisecond), upstream.WithHeaderTimeout(5*time.Second))),
-		gateway.WithIDs(func() string { return fmt.Sprintf("req%d", ids.Add(1)) }),
+		gateway.WithIDs(newID),
 		gateway.WithRecorder(func(r gateway.RequestRecord) { h.records <- r }),
 		gateway.WithLog(&log.Logger{Handler: discard.New(), Level: log.FatalLevel}),
 		gateway.WithMaxBodyBytes(1<<16),
 	)
-	h.server = httptest.NewServer(g.Handler())
-	DeferCleanup(h.close)
-	return h
+	h.servers = append(h.servers, httptest.NewServer(g.Handler()))
 }
 
-// acquire returns the Acquire method of a dispatcher over the catalogue's upstreams.
-func acquire(c *catalogue.Catalogue) func(context.Context, dispatch.Request) (*dispatch.Ticket, error) {
+// newDispatcher returns a dispatcher over the catalogue's upstreams.
+func newDispatcher(c *catalogue.Catalogue) *dispatch.Dispatcher {
 	d := dispatch.New(routing.New(routing.WithLocation("vm1", "c", "r"), routing.WithPolicy(routing.RoundRobin)))
 	d.Run()
 	DeferCleanup(d.Stop)
 	d.Configure(c)
-	return d.Acquire
+	return d
 }
 
 func (h *harness) close() {
-	h.server.Close()
+	for _, server := range h.servers {
+		server.Close()
+	}
 	for _, e := range h.engines {
 		close(e.release)
 		e.server.Close()
--- a/relay/gateway/unchanged_test.go
+++ b/relay/gateway/unchanged_test.go
@@ -201,7 +201,7 @@
 	}
 	events := httptest.NewRecorder()
 	for i := from; i <= last; i++ {
-		event(events, id, i, answerTokens)
+		event(events, id, i, "")
 	}
 	if !broken {
 		_, _ = io.WriteString(events, "data: [DONE]\n\n")
