Resume the daemon's streams only at the software version that began them

Callers of the daemon got streams whose first events came from one software version of an engine and whose rest came from another one, in one answer and when they resumed with Last-Event-ID: a stream was bound to model, adapter and weights only.

The first event now binds a stream to the software version as well: the one that the engine tells in X-Software, or the configured one if it tells none. Further attempts are placed at that version only, send it along, and are cut before their first event where the engine tells another one. Event IDs carry the version, so that any VM can resume the stream without a record. They keep the short form, which earlier releases read, as long as no version is known. An ID without a version is refused as not run with version_gone once versions are known: also one version that all upstreams have now may have replaced the one that began the stream. Malformed, overlong or differently escaped IDs are refused with 400. IDs with weights that contain a colon, which were refused so far, are escaped.

--- a/relay/catalogue/decode.go
+++ b/relay/catalogue/decode.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"regexp"
 
 	"github.com/samber/oops"
@@ -56,6 +57,8 @@
 		return v, objectError(object, "role", "leave it out; only engines have a role")
 	case v.Role != "" && v.Role != RolePrefill && v.Role != RoleDecode && v.Role != RoleBoth:
 		return v, objectError(object, "role", "use prefill, decode or both")
+	case !ValidSoftware(v.Software):
+		return v, objectError(object, "software", fmt.Sprintf("use at most %d printable characters", MaxSoftwareBytes))
 	case v.State != Active && v.State != Draining:
 		return v, objectError(object, "state", "use active or draining")
 	case v.Slots < 1:
--- a/relay/catalogue/objects.go
+++ b/relay/catalogue/objects.go
@@ -60,6 +60,19 @@
 	State  UpstreamState `json:"state,omitempty"`
 }
 
+// MaxSoftwareBytes limits the length of a software version.
+const MaxSoftwareBytes = 128
+
+// ValidSoftware reports whether a text is a software version: printable ASCII of at most MaxSoftwareBytes, or empty for none.
+func ValidSoftware(text string) bool {
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return len(text) <= MaxSoftwareBytes
+}
+
 // Account is a client account.
 type Account struct {
 	Name string `json:"name"`
--- a/relay/dispatch/dispatcher.go
+++ b/relay/dispatch/dispatcher.go
@@ -280,7 +280,7 @@
 		Idempotent: request.Idempotent, Regions: request.Account.Regions, Only: request.Only, Software: request.Software, Exclude: request.FailedUpstreams, Attempt: len(request.FailedUpstreams),
 	}
 	if request.Pinned != nil {
-		r.Weights = request.Pinned.Weights
+		r.Weights, r.Software = request.Pinned.Weights, &request.Pinned.Software
 	}
 	if request.Deadline > 0 {
 		r.Deadline = now + request.Deadline - time.Since(request.Arrived)
--- a/relay/dispatch/ticket.go
+++ b/relay/dispatch/ticket.go
@@ -39,7 +39,7 @@
 	Arrived  time.Time
 	// Pinned is the only version that may resume a stream; nil allows any version of the assistant's model.
 	Pinned *stream.Version
-	// Software is the only software version that may resume a stream; nil allows any.
+	// Software is the only software version that may resume a stream whose weights are free; nil allows any.
 	Software *string
 	// Only names the upstreams that may get the request, in the order of preference; empty means all.
 	Only []string
--- a/relay/gateway/answer_writer.go
+++ b/relay/gateway/answer_writer.go
@@ -17,10 +17,11 @@
 
 // answerWriter writes an answer to the caller, either as a stream of events or as one JSON object at the end.
 type answerWriter struct {
-	writer       http.ResponseWriter
-	controller   *http.ResponseController
-	request      string
-	weights      string
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	request    string
+	// idPrefix is the ID of each event but for its number.
+	idPrefix     []byte
 	writeTimeout time.Duration
 	kind         prompt.Kind
 	streaming    bool
@@ -56,10 +57,7 @@
 	}
 	a.beginStream()
 	a.buffer = append(a.buffer[:0], "id: "...)
-	a.buffer = append(a.buffer, a.request...)
-	a.buffer = append(a.buffer, ':')
-	a.buffer = append(a.buffer, a.weights...)
-	a.buffer = append(a.buffer, ':')
+	a.buffer = append(a.buffer, a.idPrefix...)
 	a.buffer = strconv.AppendUint(a.buffer, event.Sequence, 10)
 	a.buffer = append(a.buffer, "\ndata: "...)
 	a.buffer = append(a.buffer, event.Data...)
--- a/relay/gateway/fake_test.go
+++ b/relay/gateway/fake_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 )
@@ -24,6 +25,8 @@
 	// software is the version that each event shows; it is told in the header of answers unless untold is set.
 	software string
 	untold   bool
+	// late is the time before an answer begins.
+	late time.Duration
 	// breakFresh limits breakAt to requests that resume nothing.
 	breakFresh  bool
 	breakAt     int
@@ -114,6 +117,7 @@
 	e.mu.Lock()
 	breakAt, foreignAt, duplicateAt, skipAt, silentAt := e.breakAt, e.foreignAt, e.duplicateAt, e.skipAt, e.silentAt
 	e.mu.Unlock()
+	time.Sleep(e.late)
 	id := r.Header.Get("X-Request-Id")
 	from, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
 	e.mu.Lock()
--- a/relay/gateway/gateway_test.go
+++ b/relay/gateway/gateway_test.go
@@ -30,11 +30,14 @@
 // harness is a gateway, or several of them, with fake engines as its upstreams.
 type harness struct {
 	// server is the first of the gateways.
-	server    *httptest.Server
-	servers   []*httptest.Server
-	engines   []*fakeEngine
-	records   chan gateway.RequestRecord
-	catalogue atomic.Pointer[catalogue.Catalogue]
+	server      *httptest.Server
+	servers     []*httptest.Server
+	dispatchers []*dispatch.Dispatcher
+	// hedgeDelay is the time without an event after which a second attempt begins; 0 means never.
+	hedgeDelay time.Duration
+	engines    []*fakeEngine
+	records    chan gateway.RequestRecord
+	catalogue  atomic.Pointer[catalogue.Catalogue]
 }
 
 // engineVersion is what a fake engine serves.
@@ -75,11 +78,19 @@
 
 func (h *harness) startGateway(newID func() string) {
 	d := newDispatcher(h.catalogue.Load())
+	h.dispatchers = append(h.dispatchers, d)
+	acquire := func(ctx context.Context, r dispatch.Request) (*dispatch.Ticket, error) {
+		ticket, err := d.Acquire(ctx, r)
+		if ticket != nil {
+			ticket.HedgeDelay = h.hedgeDelay
+		}
+		return ticket, err
+	}
 	g := gateway.New(
 		gateway.WithConfiguration(func() gateway.Configuration {
 			return gateway.Configuration{Catalogue: h.catalogue.Load(), Leased: true}
 		}),
-		gateway.WithAcquire(d.Acquire),
+		gateway.WithAcquire(acquire),
 		gateway.WithClient(upstream.New(upstream.WithReadTimeout(50*time.Millisecond), upstream.WithHeaderTimeout(5*time.Second))),
 		gateway.WithIDs(newID),
 		gateway.WithRecorder(func(r gateway.RequestRecord) { h.records <- r }),
@@ -91,7 +102,7 @@
 
 // newDispatcher returns a dispatcher over the catalogue's upstreams.
 func newDispatcher(c *catalogue.Catalogue) *dispatch.Dispatcher {
-	d := dispatch.New(routing.New(routing.WithLocation("vm1", "c", "r"), routing.WithPolicy(routing.RoundRobin)))
+	d := dispatch.New(routing.New(routing.WithLocation("vm1", "c", "r"), routing.WithPolicy(routing.RoundRobin), routing.WithShares(func(s *routing.Shares) { s.Hedge = 10 })))
 	d.Run()
 	DeferCleanup(d.Stop)
 	d.Configure(c)
@@ -298,6 +309,16 @@
 		{"a wrong key", streamed, map[string]string{"Authorization": "Bearer other"}, 401, "Authorization"},
 		{"a deadline without a unit", streamed, map[string]string{"X-Deadline": "5"}, 400, "X-Deadline"},
 		{"a malformed event ID", streamed, map[string]string{"Last-Event-ID": "5"}, 400, "Last-Event-ID"},
+		{"an event ID with a part too many", streamed, map[string]string{"Last-Event-ID": "r:1:s0:x:4"}, 400, "Last-Event-ID"},
+		{"an event ID without weights", streamed, map[string]string{"Last-Event-ID": "r::s0:4"}, 400, "Last-Event-ID"},
+		{"an event ID whose number is too large", streamed, map[string]string{"Last-Event-ID": "r:1:s0:4294967296"}, 400, "Last-Event-ID"},
+		{"an event ID with an incomplete escape", streamed, map[string]string{"Last-Event-ID": "r:1:s%2:4"}, 400, "Last-Event-ID"},
+		{"an event ID with an escape that it isn't written with", streamed, map[string]string{"Last-Event-ID": "r:1:%730:4"}, 400, "Last-Event-ID"},
+		{"an event ID with a line feed in its software version", streamed, map[string]string{"Last-Event-ID": "r:1:s0%0A:4"}, 400, "Last-Event-ID"},
+		{"an event ID with too long a software version", streamed, map[string]string{"Last-Event-ID": "r:1:" + strings.Repeat("s", 129) + ":4"}, 400, "Last-Event-ID"},
+		{"too long an event ID", streamed, map[string]string{"Last-Event-ID": strings.Repeat("r", 4096) + ":1:4"}, 400, "Last-Event-ID"},
+		{"an event ID of a request that isn't streamed", strings.Replace(streamed, `"stream":true,`, "", 1), map[string]string{"Last-Event-ID": "r:1:4"}, 400, "Last-Event-ID"},
+		{"an event ID of a software version that nothing runs", streamed, map[string]string{"Last-Event-ID": "r:1:s9:4"}, 503, ""},
 	}
 	for _, w := range wrong {
 		It("answer "+w.name+" with the outcome 'not run' and the name of the field", func() {
--- a/relay/gateway/hedge.go
+++ b/relay/gateway/hedge.go
@@ -12,9 +12,11 @@
 
 // startResult is the result of one attempt up to its first event.
 type startResult struct {
-	ticket       *dispatch.Ticket
-	source       *upstream.Stream
-	first        upstream.Event
+	ticket *dispatch.Ticket
+	source *upstream.Stream
+	first  upstream.Event
+	// version is what the engine serves, by its own word on its software if it tells a version.
+	version      stream.Version
 	err          error
 	retryDelay   time.Duration
 	retryAllowed bool
@@ -27,16 +29,16 @@
 // may have run.
 func (s *session) startHedged(ctx context.Context, ticket *dispatch.Ticket) startResult {
 	// An attempt that lost may still start while the events of the other one are relayed.
-	from := s.core.Next()
+	from, bound := s.core.Next(), s.core.Version()
 	if ticket.HedgeDelay == 0 {
-		return s.reportFailure(ctx, s.startAttempt(ctx, ticket, from))
+		return s.reportFailure(ctx, s.startAttempt(ctx, ticket, from, bound))
 	}
 	results := make(chan startResult, 2)
 	cancels := map[*dispatch.Ticket]context.CancelFunc{}
 	launch := func(t *dispatch.Ticket) {
 		attempt, cancel := context.WithCancel(ctx)
 		cancels[t] = cancel
-		go func() { results <- s.startAttempt(attempt, t, from) }()
+		go func() { results <- s.startAttempt(attempt, t, from, bound) }()
 	}
 	launch(ticket)
 	timer := time.NewTimer(ticket.HedgeDelay)
@@ -79,16 +81,27 @@
 	}
 }
 
-// startAttempt sends the request for the events with the number from and later, and reads the first one.
-func (s *session) startAttempt(ctx context.Context, ticket *dispatch.Ticket, from uint64) startResult {
-	version := versionOf(ticket.Upstream)
-	r := startResult{ticket: ticket}
-	s.importKVCache(ctx, ticket, version)
-	r.source, r.err = s.gateway.client.Open(ctx, upstream.Call{
+// startAttempt sends the request for the events with the number from and later, and reads the first one. If there are earlier events, it
+// fails at an engine that serves another version than the one to which they bind the stream.
+func (s *session) startAttempt(ctx context.Context, ticket *dispatch.Ticket, from uint64, bound stream.Version) startResult {
+	r := startResult{ticket: ticket, version: versionOf(ticket.Upstream)}
+	s.importKVCache(ctx, ticket, r.version)
+	call := upstream.Call{
 		Upstream: ticket.Upstream, Path: s.path, Body: s.body, Request: s.requestInfo.id, From: from,
-		Salt: salt(s.requestInfo.account.Name, version), Priority: ticket.Priority,
-	})
-	if r.err != nil {
+		Salt: salt(s.requestInfo.account.Name, r.version), Priority: ticket.Priority,
+	}
+	if from > 0 {
+		call.Software = bound.Software
+	}
+	if r.source, r.err = s.gateway.client.Open(ctx, call); r.err != nil {
+		return r
+	}
+	if r.source.Software != "" {
+		r.version.Software = r.source.Software
+	}
+	if from > 0 && r.version != bound {
+		r.source.Close()
+		r.err = errOtherVersion
 		return r
 	}
 	if r.first, r.err = r.source.Next(); r.err != nil {
@@ -118,6 +131,12 @@
 		r.ticket.Cancel()
 		return r
 	}
+	if errors.Is(r.err, errOtherVersion) {
+		// It says nothing about the engine's health, and another one may be asked at once.
+		r.ticket.Cancel()
+		r.retryAllowed = true
+		return r
+	}
 	var refused *upstream.RefusedError
 	refusal := errors.As(r.err, &refused)
 	r.notRun = refusal && refused.NotRun || errors.Is(r.err, upstream.ErrNotSent)
--- a/relay/gateway/session.go
+++ b/relay/gateway/session.go
@@ -52,6 +52,9 @@
 // errGap reports that an engine skipped events of the stream.
 var errGap = errors.New("the engine skipped events of the stream")
 
+// errOtherVersion reports that an engine serves another version than the one with which the stream began.
+var errOtherVersion = errors.New("the engine serves another version than the one with which the stream began")
+
 // errCallerGone reports that the caller disconnected or read too slowly.
 var errCallerGone = errors.New("the caller disconnected or read too slowly")
 
@@ -92,7 +95,7 @@
 			return outcome.RefuseUncertain(outcome.Cancelled, "the caller disconnected before the answer was complete; resume with Last-Event-ID or send the request again").WithCause(err)
 		}
 		s.gateway.log.WithFields(log.Fields{
-			"request": s.requestInfo.id, "upstream": ticket.Upstream.Name, "delivered": s.core.Next(), "cause": err.Error(),
+			"request": s.requestInfo.id, "upstream": ticket.Upstream.Name, "software": ticket.Upstream.Software, "delivered": s.core.Next(), "cause": err.Error(),
 		}).Info("attempt failed")
 		lastErr = err
 		if errors.Is(err, errTextTooLarge) || errors.Is(err, buffer.ErrFull) && !s.parsed.Stream {
@@ -120,7 +123,7 @@
 	return refuse(outcome.UpstreamFailed, "%s", remedy).WithCause(cause)
 }
 
-// pinVersion restricts further attempts of a stream that has begun to the model and weights version that it began with.
+// pinVersion restricts further attempts of a stream that has begun to the version that it began with.
 func (s *session) pinVersion() {
 	if s.core.Next() > 0 {
 		version := s.core.Version()
@@ -155,12 +158,11 @@
 		return started.retryDelay, started.retryAllowed, started.err
 	}
 	defer started.source.Close()
-	version := versionOf(started.ticket.Upstream)
-	if !s.core.Resume(version) {
+	if !s.core.Resume(started.version) {
 		started.ticket.Cancel()
-		return 0, true, fmt.Errorf("upstream %s serves %v, not the version with which the stream began", started.ticket.Upstream.Name, version)
+		return 0, true, fmt.Errorf("upstream %s: %w", started.ticket.Upstream.Name, errOtherVersion)
 	}
-	s.answerWriter.weights = version.Weights
+	s.answerWriter.idPrefix = appendEventIDPrefix(s.answerWriter.idPrefix[:0], s.requestInfo.id, started.version, s.requestInfo.catalogue)
 	s.gateway.progress.setUpstream(s.requestInfo.id, started.ticket.Upstream.Name, s.core.Next(), s.core.Counts().Resumes-1)
 	started.ticket.FirstToken(started.source.Incarnation)
 	begunAt := s.gateway.now()
@@ -235,10 +237,10 @@
 }
 
 func versionOf(u catalogue.Upstream) stream.Version {
-	return stream.Version{Model: u.Model, Adapter: u.Adapter, Weights: u.Weights}
+	return stream.Version{Model: u.Model, Adapter: u.Adapter, Weights: u.Weights, Software: u.Software}
 }
 
-// salt returns a cache salt that separates the engines' prefix caches by client account and version. Each hashed field has a
+// salt returns a cache salt that separates the engines' prefix caches by client account, model, adapter and weights. Each hashed field has a
 // length prefix, so that different fields can't join to the same text.
 func salt(account string, version stream.Version) string {
 	hash := sha256.New()
--- a/relay/gateway/software_test.go
+++ b/relay/gateway/software_test.go
@@ -8,12 +8,14 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/tidwall/gjson"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/gateway"
+	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 )
 
 // receivedStream is what a caller has received of one stream.
@@ -149,4 +151,108 @@
 		expectOneVersion(streams...)
 		expectDone(true, streams...)
 	})
+
+	// Guards against a stream that goes on at an engine which has started with another version than the configured one.
+	DescribeTable("go on only where the engine itself tells their version", func(hedgeDelay time.Duration) {
+		h := newHarnessOf(1, versions("s0", "s0", "s0", "s0")...)
+		h.discardRecords()
+		h.hedgeDelay = hedgeDelay
+		for i, e := range h.engines {
+			e.late = 3 * time.Millisecond
+			if i%2 == 1 {
+				e.software = "s1"
+			}
+		}
+		var streams []*receivedStream
+		for range 8 {
+			s := &receivedStream{versions: map[string]bool{}, next: 5}
+			h.read(0, streamed, "req9:1:s0:4", s)
+			streams = append(streams, s)
+			Expect(s.versions).To(HaveKey("s0"))
+		}
+		expectOneVersion(streams...)
+		expectDone(true, streams...)
+		misled := 0
+		for i, e := range h.engines {
+			if i%2 == 1 {
+				misled += e.requestCount()
+			}
+			for _, header := range e.requests {
+				Expect(header.Get("X-Software")).To(Equal("s0"))
+			}
+		}
+		Expect(misled).To(BeNumerically(">", 0))
+	},
+		Entry("without second attempts", time.Duration(0)),
+		Entry("with a second attempt beside each slow one", time.Millisecond),
+	)
+
+	It("show the version that the engine tells in their event IDs, or the configured one if it tells none", func() {
+		h := newHarnessOf(1, versions("s 0:", "s 0:")...)
+		h.engines[0].software, h.engines[1].untold = "s1", true
+		prefixes := map[string]bool{}
+		for range 2 {
+			s := newReceivedStream()
+			h.read(0, streamed, "", s)
+			prefixes[strings.SplitN(s.lastID(), ":", 2)[1]] = true
+		}
+		Expect(prefixes).To(Equal(map[string]bool{"1:s1:12": true, "1:s+0%3A:12": true}))
+	})
+
+	It("begin at no engine that tells a version of more than a line's length", func() {
+		h := newHarnessOf(1, versions("s0", "s0")...)
+		h.engines[0].software = strings.Repeat("s", 129)
+		for range 2 {
+			s := newReceivedStream()
+			h.read(0, streamed, "", s)
+			Expect(s.versions).To(Equal(map[string]bool{"s0": true}))
+			expectDone(true, s)
+		}
+	})
+})
+
+// Guards against streams of an earlier release, whose event IDs tell no software version, that go on at another one.
+var _ = Describe("an event ID without a software version", func() {
+	const old = "req9:1:4"
+
+	It("resumes the stream while no version of its model and weights is known", func() {
+		h := newHarnessOf(1, engineVersion{"1", ""}, engineVersion{"1", ""}, engineVersion{"2", "s0"})
+		for range 3 {
+			s := &receivedStream{versions: map[string]bool{}, next: 5}
+			h.read(0, streamed, old, s)
+			expectDone(true, s)
+			Expect(s.ids[0]).To(Equal(fmt.Sprintf("req%s:1:5", strings.TrimPrefix(strings.SplitN(s.ids[0], ":", 2)[0], "req"))))
+		}
+		Expect(h.engines[2].requestCount()).To(BeZero())
+	})
+
+	DescribeTable("is refused as not run, before an engine is reached, once", func(software ...string) {
+		h := newHarnessOf(1, versions(software...)...)
+		expectRefusal(h.post(streamed, map[string]string{"Last-Event-ID": old}), http.StatusConflict, "Last-Event-ID", outcome.NotRun)
+		Expect((<-h.records).Refusal.Kind).To(Equal(outcome.VersionUnavailable))
+		for _, e := range h.engines {
+			Expect(e.requestCount()).To(BeZero())
+		}
+	},
+		Entry("two versions serve", "s0", "s1"),
+		Entry("one version serves beside an unknown one", "", "s0"),
+		Entry("one version serves, which may have replaced that of the stream", "s0", "s0"),
+	)
+
+	It("isn't written while a version of the model and weights is known", func() {
+		h := newHarnessOf(1, versions("", "s0")...)
+		ends := map[string]bool{}
+		whole := []*receivedStream{newReceivedStream(), newReceivedStream()}
+		for _, s := range whole {
+			h.read(0, streamed, "", s)
+			ends[strings.SplitN(s.lastID(), ":", 2)[1]] = true
+		}
+		for _, s := range whole {
+			resumed := &receivedStream{versions: s.versions, next: 5}
+			h.read(0, streamed, s.ids[4], resumed)
+			expectOneVersion(resumed)
+			expectDone(true, resumed)
+		}
+		Expect(ends).To(Equal(map[string]bool{"1::12": true, "1:s0:12": true}))
+	})
 })
--- a/relay/gateway/text.go
+++ b/relay/gateway/text.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"sort"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
@@ -84,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pinned, from, err := readResume(r, assistant, parsed)
+	pinned, from, err := readResume(r, info.catalogue, assistant, parsed)
 	if err != nil {
 		return nil, err
 	}
@@ -116,29 +114,26 @@
 	return deadline, nil
 }
 
-// readResume returns the version and the first event number for the resume of a stream. Last-Event-ID is the ID of the last event
-// that the caller received, REQUEST:WEIGHTS:NUMBER.
-func readResume(r *http.Request, assistant catalogue.Assistant, parsed prompt.Request) (*stream.Version, uint64, error) {
-	id := r.Header.Get("Last-Event-ID")
-	if id == "" {
-		return pinnedVersion(assistant, assistant.Weights), 0, nil
-	}
-	parts := strings.Split(id, ":")
-	if len(parts) != 3 || parts[1] == "" || !parsed.Stream {
-		return nil, 0, outcome.Refuse(outcome.BadRequest, "the event ID is malformed or the request does not set stream; send the unchanged ID of the last received event, with the same body and stream set").WithField("Last-Event-ID")
-	}
-	last, err := strconv.ParseUint(parts[2], 10, 32)
-	if err != nil {
-		return nil, 0, outcome.Refuse(outcome.BadRequest, "the event ID does not end in a number; send the unchanged ID of the last received event").WithField("Last-Event-ID")
+// readResume returns the version and the first event number for the resume of a stream, nil and 0 without one. Last-Event-ID is the ID of
+// the last event that the caller received.
+func readResume(r *http.Request, c *catalogue.Catalogue, assistant catalogue.Assistant, parsed prompt.Request) (*stream.Version, uint64, error) {
+	text := r.Header.Get("Last-Event-ID")
+	if text == "" {
+		return nil, 0, nil
 	}
-	return pinnedVersion(assistant, parts[1]), last + 1, nil
-}
-
-func pinnedVersion(assistant catalogue.Assistant, weights string) *stream.Version {
-	if weights == "" {
-		return nil
+	if !parsed.Stream {
+		return nil, 0, outcome.Refuse(outcome.BadRequest, "a request with an event ID must set stream; send the unchanged ID of the last received event, with the same body and stream set").WithField("Last-Event-ID")
+	}
+	id, refusal := parseEventID(text)
+	if refusal != nil {
+		return nil, 0, refusal
+	}
+	version := &stream.Version{Model: assistant.Model, Adapter: assistant.Adapter, Weights: id.weights, Software: id.software}
+	if !id.hasSoftware && softwareKnown(c, *version) {
+		// Upstreams may have changed since the stream began, so that not even one that all of them have now shows what began it.
+		return nil, 0, outcome.Refuse(outcome.VersionUnavailable, "the event ID tells no software version, so that the stream could go on at another version than the one that began it; send the request again without Last-Event-ID").WithField("Last-Event-ID")
 	}
-	return &stream.Version{Model: assistant.Model, Adapter: assistant.Adapter, Weights: weights}
+	return version, id.number + 1, nil
 }
 
 // engineModel returns the model name for requests to the engine: the adapter's if there is one.
--- a/relay/stream/core.go
+++ b/relay/stream/core.go
@@ -22,6 +22,8 @@
 	Model   string
 	Adapter string
 	Weights string
+	// Software is the version of the engine's software; empty if neither the configuration nor the engine tells one.
+	Software string
 }
 
 // Event holds the fields of an upstream's event on which Accept decides.
--- a/relay/stream/core_test.go
+++ b/relay/stream/core_test.go
@@ -46,6 +46,16 @@
 		Expect(core.Resume(version)).To(BeTrue())
 	})
 
+	It("refuses to resume at another software version once a token was delivered", func() {
+		began := stream.Version{Model: "m", Weights: "1", Software: "1.0"}
+		Expect(core.Resume(stream.Version{Model: "m", Weights: "1", Software: "1.1"})).To(BeTrue())
+		Expect(core.Resume(began)).To(BeTrue())
+		core.Accept(event(0))
+		Expect(core.Resume(stream.Version{Model: "m", Weights: "1", Software: "1.1"})).To(BeFalse())
+		Expect(core.Resume(version)).To(BeFalse())
+		Expect(core.Resume(began)).To(BeTrue())
+	})
+
 	It("drops events after the finish reason", func() {
 		core.Accept(stream.Event{Request: "r", Finish: true})
 		expectVerdict(core, event(1), stream.AfterEnd)
--- a/relay/upstream/stream.go
+++ b/relay/upstream/stream.go
@@ -16,6 +16,12 @@
 // maxErrorBytes limits the part of an engine's error response that is read.
 const maxErrorBytes = 4096
 
+// softwareHeader tells the engine's software version in an answer, and the one with which a stream began in a request that resumes it.
+const softwareHeader = "X-Software"
+
+// errSoftware ends the attempt at an engine whose answer can't be told from those of other software versions.
+var errSoftware = fmt.Errorf("the engine tells a software version in %s that is no line of at most %d printable characters", softwareHeader, catalogue.MaxSoftwareBytes)
+
 // Call is one request to an engine.
 type Call struct {
 	Upstream catalogue.Upstream
@@ -24,6 +30,8 @@
 	Request  string
 	// From is the number of events that the caller has already received.
 	From uint64
+	// Software is the software version with which the stream began, if it is known; the engine refuses the call if it runs another one.
+	Software string
 	// Salt separates the engine's prefix cache by account, model, adapter and weights.
 	Salt     string
 	Priority int
@@ -47,6 +55,8 @@
 type Stream struct {
 	// Incarnation identifies the engine's start, or is 0 if the engine reports none.
 	Incarnation uint64
+	// Software is the software version that the engine tells; empty if it tells none.
+	Software string
 
 	client   *Client
 	call     Call
@@ -84,11 +94,17 @@
 		defer watch.stop()
 		return nil, readRefusal(response, call.Request)
 	}
+	software := response.Header.Get(softwareHeader)
+	if !catalogue.ValidSoftware(software) {
+		watch.stop()
+		_ = response.Body.Close()
+		return nil, errSoftware
+	}
 	// 0 stands for an engine that reports no incarnation: its crashes go unnoticed, so no knowledge of its cache may be retained.
 	incarnation, _ := strconv.ParseUint(response.Header.Get("X-Incarnation"), 10, 64)
 	return &Stream{
-		Incarnation: incarnation,
-		client:      c, call: call, body: response.Body, ctx: ctx, watchdog: watch,
+		Incarnation: incarnation, Software: software,
+		client: c, call: call, body: response.Body, ctx: ctx, watchdog: watch,
 		events: newBoundedEventReader(response.Body, call.From, c.memory.Reserve()),
 	}, nil
 }
@@ -100,6 +116,9 @@
 	header.Set("X-Cache-Salt", call.Salt)
 	header.Set("X-Weights", call.Upstream.Weights)
 	header.Set("X-Priority", strconv.Itoa(call.Priority))
+	if call.Software != "" {
+		header.Set(softwareHeader, call.Software)
+	}
 	if call.From > 0 {
 		header.Set("X-Resume-From", strconv.FormatUint(call.From, 10))
 	}
