Place resumed streams by the software version that engines report

A stream that began at an engine which runs another version than the configured one ended with an error when its engine broke off, as its version was configured nowhere, though engines of it served; and resumed streams of the configured version were sent to that engine in vain.

The load report's software version now replaces the configured one in the upstreams that requests are placed at, like the reported weights.

--- a/relay/app_effective.go
+++ b/relay/app_effective.go
@@ -9,7 +9,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/order"
 )
 
-// effectiveUpstreams configures the dispatcher with the weights version that each engine reports, instead of the configured one.
+// effectiveUpstreams configures the dispatcher with the weights and software version that each engine reports, instead of the configured ones.
 type effectiveUpstreams struct {
 	d *dispatch.Dispatcher
 
--- a/relay/app_orders.go
+++ b/relay/app_orders.go
@@ -186,7 +186,8 @@
 	return order.Report{
 		// The age is rounded down to whole milliseconds; 1 ms is added so that the report is not dated too late.
 		Upstream: u.Name, Address: u.Address, MadeAt: requestedAt - time.Duration(load.Age+1)*time.Millisecond,
-		Version: order.ModelVersion{Model: load.Model, Adapter: load.Adapter, Weights: load.Weights},
-		Role:    load.Role, Loading: load.Loading, Leaving: load.Leaving,
+		Version:  order.ModelVersion{Model: load.Model, Adapter: load.Adapter, Weights: load.Weights},
+		Software: load.Software,
+		Role:     load.Role, Loading: load.Loading, Leaving: load.Leaving,
 	}
 }
--- a/relay/order/core_test.go
+++ b/relay/order/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -224,6 +225,19 @@
 		Entry("unless the report comes from another address", func(r *order.Report) { r.Address = netip.AddrPort{} }, "2", catalogue.Active),
 	)
 
+	DescribeTable("follow the software version in the load report, so that a stream is resumed only where its version runs",
+		func(reported, software string) {
+			configured, r := engine, report
+			configured.Software, r.Software = "1.0", reported
+			effective := order.Effective([]catalogue.Upstream{configured}, map[string]order.Report{"e0": r})
+			Expect(effective[0].Software).To(Equal(software))
+		},
+		Entry("when the engine runs another version", "1.1", "1.1"),
+		Entry("unless the engine reports none", "", "1.0"),
+		Entry("unless it is no version", "1.1\n", "1.0"),
+		Entry("unless it is too long", strings.Repeat("1", 129), "1.0"),
+	)
+
 	It("equal the configured ones before the first report and for services", func() {
 		service := catalogue.Upstream{Name: "s", Address: address, Kind: catalogue.Service, State: catalogue.Active}
 		reports := map[string]order.Report{"s": {Upstream: "s", Address: address, Loading: true}}
--- a/relay/order/effective.go
+++ b/relay/order/effective.go
@@ -4,8 +4,8 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 )
 
-// Effective returns the upstreams as requests may use them: an engine receives requests for the version that it reports, not for the
-// configured one, and none while it loads. Reports are keyed by upstream name; an engine without a report is used as configured.
+// Effective returns the upstreams as requests may use them: an engine receives requests for the model and software version that it reports, not for
+// the configured ones, and none while it loads. Reports are keyed by upstream name; an engine without a report is used as configured.
 func Effective(upstreams []catalogue.Upstream, reports map[string]Report) []catalogue.Upstream {
 	effective := make([]catalogue.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
@@ -14,6 +14,9 @@
 			if report.Version.Model != "" && report.Version.Weights != "" {
 				u.Model, u.Adapter, u.Weights = report.Version.Model, report.Version.Adapter, report.Version.Weights
 			}
+			if report.Software != "" && catalogue.ValidSoftware(report.Software) {
+				u.Software = report.Software
+			}
 			if report.Loading {
 				u.State = catalogue.Draining
 			}
--- a/relay/order/message.go
+++ b/relay/order/message.go
@@ -37,8 +37,10 @@
 	// MadeAt is the earliest time, on this VM's clock, at which the engine can have produced the report.
 	MadeAt  time.Duration
 	Version ModelVersion
-	Role    string
-	Loading bool
+	// Software is the version of the engine's software; empty if it tells none.
+	Software string
+	Role     string
+	Loading  bool
 	// Leaving is set while the engine accepts no new requests.
 	Leaving bool
 	// Sequence is the number of orders that the engine has accepted, if it counts them.
--- a/relay/upstream/load.go
+++ b/relay/upstream/load.go
@@ -27,6 +27,7 @@
 	Model       string `json:"model"`
 	Adapter     string `json:"adapter"`
 	Weights     string `json:"weights"`
+	Software    string `json:"software"`
 	Slots       int    `json:"slots"`
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
