Wait for the cancelled second attempt before a stream is resumed

A request with a second attempt beside a slow one ended with an error, though other engines served, if the engine that began first broke off before the other attempt had ended: the request still counted as in progress, so that its next attempt was refused as running.

The session now waits for the end of the cancelled attempt, whose context has ended, before it reports the failure and asks for another upstream.

--- a/relay/gateway/hedge.go
+++ b/relay/gateway/hedge.go
@@ -20,6 +20,8 @@
 	err          error
 	retryDelay   time.Duration
 	retryAllowed bool
+	// othersEnded is closed once the ticket of the other attempt has ended; nil if there was none to cancel.
+	othersEnded <-chan struct{}
 	// notRun reports that the engine ran no part of the request.
 	notRun bool
 }
@@ -55,8 +57,10 @@
 				r.notRun = notRun
 			}
 			delete(cancels, r.ticket)
+			if won && len(cancels) > 0 {
+				r.othersEnded = cancelAttempts(results, cancels)
+			}
 			if won || len(cancels) == 0 {
-				cancelAttempts(results, cancels)
 				return r
 			}
 		case <-timer.C:
@@ -67,17 +71,35 @@
 	}
 }
 
-// cancelAttempts cancels the attempts still running. The context of the chosen attempt ends with its parent.
-func cancelAttempts(results chan startResult, cancels map[*dispatch.Ticket]context.CancelFunc) {
+// cancelAttempts cancels the attempts still running and returns a channel that is closed once their tickets have ended. The context of the
+// chosen attempt ends with its parent.
+func cancelAttempts(results chan startResult, cancels map[*dispatch.Ticket]context.CancelFunc) <-chan struct{} {
+	ended := make(chan struct{})
 	for _, cancel := range cancels {
 		cancel()
-		go func() {
+	}
+	go func() {
+		defer close(ended)
+		for range cancels {
 			r := <-results
 			if r.source != nil {
 				r.source.Close()
 			}
 			r.ticket.Cancel()
-		}()
+		}
+	}()
+	return ended
+}
+
+// waitForOthers waits until the cancelled attempts of a request have ended. Until then the request is in progress, and no further attempt
+// would be admitted.
+func (r *startResult) waitForOthers(ctx context.Context) {
+	if r.othersEnded == nil {
+		return
+	}
+	select {
+	case <-r.othersEnded:
+	case <-ctx.Done():
 	}
 }
 
--- a/relay/gateway/session.go
+++ b/relay/gateway/session.go
@@ -159,6 +159,7 @@
 	}
 	defer started.source.Close()
 	if !s.core.Resume(started.version) {
+		started.waitForOthers(ctx)
 		started.ticket.Cancel()
 		return 0, true, fmt.Errorf("upstream %s: %w", started.ticket.Upstream.Name, errOtherVersion)
 	}
@@ -171,6 +172,7 @@
 			started.ticket.Cancel()
 			return 0, false, err
 		}
+		started.waitForOthers(ctx)
 		ended := hasEnded(err)
 		if ended && s.gateway.now().Sub(begunAt) < beginTime {
 			s.crashes++
--- a/relay/gateway/software_test.go
+++ b/relay/gateway/software_test.go
@@ -152,6 +152,29 @@
 		expectDone(true, streams...)
 	})
 
+	// Guards against a slow first attempt beside which a second one of another version goes on with the stream.
+	It("hold events of one version if a second attempt begins beside each slow one", func() {
+		h := newHarnessOf(1, versions("s0", "s1", "s0", "s1")...)
+		h.discardRecords()
+		h.hedgeDelay = time.Millisecond
+		for _, e := range h.engines {
+			e.breakAt, e.breakFresh, e.late = 5, true, 5*time.Millisecond
+		}
+		var streams []*receivedStream
+		for i := range 10 {
+			streams = append(streams, newReceivedStream())
+			// Requests with one prompt under which engines break off would be refused.
+			h.read(0, strings.Replace(streamed, "sheet", fmt.Sprint("sheet ", i), 1), "", streams[len(streams)-1])
+		}
+		expectOneVersion(streams...)
+		expectDone(true, streams...)
+		var sends int
+		for _, e := range h.engines {
+			sends += e.requestCount()
+		}
+		Expect(sends).To(BeNumerically(">", 2*len(streams)), "no second attempt has begun")
+	})
+
 	// Guards against a stream that goes on at an engine which has started with another version than the configured one.
 	DescribeTable("go on only where the engine itself tells their version", func(hedgeDelay time.Duration) {
 		h := newHarnessOf(1, versions("s0", "s0", "s0", "s0")...)
