Draw orders of streams and of engines that start with other software versions

Callers begin, leave and resume streams at two gateways while engines break off, start with other versions, drain, and are reported late or configured wrongly, and gateways start again without what they knew. No stream holds events of two versions, and one for which an engine of its version takes requests goes on.

--- a/relay/gateway/fake_test.go
+++ b/relay/gateway/fake_test.go
@@ -27,6 +27,8 @@
 	untold   bool
 	// late is the time before an answer begins.
 	late time.Duration
+	// restartAs, if it isn't nil, is the version with which the engine goes on after it has broken off once.
+	restartAs *string
 	// breakFresh limits breakAt to requests that resume nothing.
 	breakFresh  bool
 	breakAt     int
@@ -134,6 +136,7 @@
 	for i := from; i <= answerTokens; i++ {
 		switch i {
 		case breakAt:
+			e.restart()
 			panic(http.ErrAbortHandler)
 		case silentAt:
 			flusher.Flush()
@@ -158,6 +161,15 @@
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// restart goes on with the version of restartAs, and breaks off no more.
+func (e *fakeEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.restartAs != nil {
+		e.software, e.restartAs, e.breakAt = *e.restartAs, nil, -1
+	}
+}
+
 // event sends an event that shows the engine's software version.
 func (e *fakeEngine) event(w http.ResponseWriter, id string, i int) {
 	e.mu.Lock()
--- a/relay/gateway/gateway_test.go
+++ b/relay/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/gateway"
+	"github.com/chicoryrelay/chicoryrelay/relay/order"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
@@ -38,6 +39,9 @@
 	engines    []*fakeEngine
 	records    chan gateway.RequestRecord
 	catalogue  atomic.Pointer[catalogue.Catalogue]
+	// reports are the engines' load reports as the gateways have them.
+	reports map[string]order.Report
+	newID   func() string
 }
 
 // engineVersion is what a fake engine serves.
@@ -68,8 +72,9 @@
 	}
 	h.catalogue.Store(c)
 	var ids atomic.Int64
+	h.newID = func() string { return fmt.Sprintf("req%d", ids.Add(1)) }
 	for range gateways {
-		h.startGateway(func() string { return fmt.Sprintf("req%d", ids.Add(1)) })
+		h.startGateway(h.newID)
 	}
 	h.server = h.servers[0]
 	DeferCleanup(h.close)
@@ -100,6 +105,36 @@
 	h.servers = append(h.servers, httptest.NewServer(g.Handler()))
 }
 
+// restartGateway replaces a gateway by a new one.
+func (h *harness) restartGateway(i int) {
+	h.servers[i].CloseClientConnections()
+	h.servers[i].Close()
+	h.dispatchers[i].Stop()
+	h.startGateway(h.newID)
+	last := len(h.servers) - 1
+	h.servers[i], h.servers = h.servers[last], h.servers[:last]
+	h.dispatchers[i], h.dispatchers = h.dispatchers[last], h.dispatchers[:last]
+	h.publish()
+}
+
+// configure changes the configured upstreams of all gateways.
+func (h *harness) configure(change func(upstreams []catalogue.Upstream)) {
+	c := *h.catalogue.Load()
+	c.Upstreams = slices.Clone(c.Upstreams)
+	change(c.Upstreams)
+	h.catalogue.Store(&c)
+	h.publish()
+}
+
+// publish gives the dispatchers the upstreams as the configuration and the engines' reports have them.
+func (h *harness) publish() {
+	c := *h.catalogue.Load()
+	c.Upstreams = order.Effective(c.Upstreams, h.reports)
+	for _, d := range h.dispatchers {
+		d.Configure(&c)
+	}
+}
+
 // newDispatcher returns a dispatcher over the catalogue's upstreams.
 func newDispatcher(c *catalogue.Catalogue) *dispatch.Dispatcher {
 	d := dispatch.New(routing.New(routing.WithLocation("vm1", "c", "r"), routing.WithPolicy(routing.RoundRobin), routing.WithShares(func(s *routing.Shares) { s.Hedge = 10 })))
--- a/relay/gateway/software_test.go
+++ b/relay/gateway/software_test.go
@@ -25,7 +25,11 @@
 	// versions are the software versions that the events show.
 	versions map[string]bool
 	next     int
-	done     bool
+	// limit is the number of events after which the caller goes away; 0 for none.
+	limit int
+	// refusal is the error with which the last answer ended.
+	refusal string
+	done    bool
 }
 
 // lastID returns the ID of the last event; empty before the first.
@@ -56,9 +60,15 @@
 			Expect(id[strings.LastIndexByte(id, ':')+1:]).To(Equal(strconv.Itoa(s.next)))
 			s.ids, s.next = append(s.ids, id), s.next+1
 		}
+		if line == "" && s.limit > 0 && len(s.ids) >= s.limit {
+			return
+		}
 		if software := gjson.Get(strings.TrimPrefix(line, "data: "), "system_fingerprint"); software.Exists() {
 			s.versions[software.String()] = true
 		}
+		if refusal := gjson.Get(strings.TrimPrefix(line, "data: "), "error"); refusal.Exists() {
+			s.refusal = refusal.Raw
+		}
 		s.done = s.done || line == "data: [DONE]"
 	}
 }
