--- a/relay/gateway/fake_test.go
+++ b/relay/gateway/fake_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 )
@@ -20,7 +21,16 @@
 type fakeEngine struct {
 	server *httptest.Server
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// software is the version that each event shows; it is told in the header of answers unless untold is set.
+	software string
+	untold   bool
+	// late is the time before an answer begins.
+	late time.Duration
+	// restartAs, if it isn't nil, is the version with which the engine goes on after it has broken off once.
+	restartAs *string
+	// breakFresh limits breakAt to requests that resume nothing.
+	breakFresh  bool
 	breakAt     int
 	foreignAt   int
 	duplicateAt int
@@ -51,7 +61,7 @@
 func (e *fakeEngine) upstream(name, weights string) catalogue.Upstream {
 	return catalogue.Upstream{
 		Name: name, Address: netip.MustParseAddrPort(e.server.Listener.Addr().String()), DataCentre: "c", Region: "r",
-		Kind: catalogue.Engine, Model: "m", Weights: weights, Slots: 8, State: catalogue.Active,
+		Kind: catalogue.Engine, Model: "m", Weights: weights, Software: e.software, Slots: 8, State: catalogue.Active,
 	}
 }
 
@@ -62,7 +72,7 @@
 	e.mu.Unlock()
 	body, _ := io.ReadAll(r.Body)
 	if crashOn != "" && strings.Contains(string(body), crashOn) {
-		event(w, r.Header.Get("X-Request-Id"), 0, answerTokens)
+		e.event(w, r.Header.Get("X-Request-Id"), 0)
 		panic(http.ErrAbortHandler)
 	}
 	if strings.Contains(string(body), endlessPrompt) {
@@ -109,14 +119,24 @@
 	e.mu.Lock()
 	breakAt, foreignAt, duplicateAt, skipAt, silentAt := e.breakAt, e.foreignAt, e.duplicateAt, e.skipAt, e.silentAt
 	e.mu.Unlock()
+	time.Sleep(e.late)
 	id := r.Header.Get("X-Request-Id")
 	from, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
+	e.mu.Lock()
+	if from > 0 && e.breakFresh {
+		breakAt = -1
+	}
+	if e.software != "" && !e.untold {
+		w.Header().Set("X-Software", e.software)
+	}
+	e.mu.Unlock()
 	w.Header().Set("X-Incarnation", "7")
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := w.(http.Flusher)
 	for i := from; i <= answerTokens; i++ {
 		switch i {
 		case breakAt:
+			e.restart()
 			panic(http.ErrAbortHandler)
 		case silentAt:
 			flusher.Flush()
@@ -129,24 +149,41 @@
 			e.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		case foreignAt:
-			event(w, "another-request", i, answerTokens)
+			e.event(w, "another-request", i)
 		case duplicateAt:
-			event(w, id, i, answerTokens)
+			e.event(w, id, i)
 		case skipAt:
 			continue
 		}
-		event(w, id, i, answerTokens)
+		e.event(w, id, i)
 	}
 	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":5}}}\n\n", id, answerTokens)
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-func event(w http.ResponseWriter, id string, i, last int) {
+// restart goes on with the version of restartAs, and breaks off no more.
+func (e *fakeEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.restartAs != nil {
+		e.software, e.restartAs, e.breakAt = *e.restartAs, nil, -1
+	}
+}
+
+// event sends an event that shows the engine's software version.
+func (e *fakeEngine) event(w http.ResponseWriter, id string, i int) {
+	e.mu.Lock()
+	software := e.software
+	e.mu.Unlock()
+	event(w, id, i, software)
+}
+
+func event(w http.ResponseWriter, id string, i int, software string) {
 	delta, reason := fmt.Sprintf(`{"content":"t%d "}`, i), "null"
-	if i == last {
+	if i == answerTokens {
 		delta, reason = "{}", `"stop"`
 	}
-	_, _ = fmt.Fprintf(w, "id: %s:%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":%s,\"finish_reason\":%s}]}\n\n", id, i, id, delta, reason)
+	_, _ = fmt.Fprintf(w, "id: %s:%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":\"m\",\"system_fingerprint\":%q,\"choices\":[{\"index\":0,\"delta\":%s,\"finish_reason\":%s}]}\n\n", id, i, id, software, delta, reason)
 	w.(http.Flusher).Flush()
 }
 
--- a/relay/gateway/gateway_test.go
+++ b/relay/gateway/gateway_test.go
@@ -22,19 +22,41 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/catalogue"
 	"github.com/chicoryrelay/chicoryrelay/relay/dispatch"
 	"github.com/chicoryrelay/chicoryrelay/relay/gateway"
+	"github.com/chicoryrelay/chicoryrelay/relay/order"
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/routing"
 	"github.com/chicoryrelay/chicoryrelay/relay/upstream"
 )
 
-// harness is a gateway with fake engines as its upstreams.
+// harness is a gateway, or several of them, with fake engines as its upstreams.
 type harness struct {
-	server  *httptest.Server
-	engines []*fakeEngine
-	records chan gateway.RequestRecord
+	// server is the first of the gateways.
+	server      *httptest.Server
+	servers     []*httptest.Server
+	dispatchers []*dispatch.Dispatcher
+	// hedgeDelay is the time without an event after which a second attempt begins; 0 means never.
+	hedgeDelay time.Duration
+	engines    []*fakeEngine
+	records    chan gateway.RequestRecord
+	catalogue  atomic.Pointer[catalogue.Catalogue]
+	// reports are the engines' load reports as the gateways have them.
+	reports map[string]order.Report
+	newID   func() string
 }
 
+// engineVersion is what a fake engine serves.
+type engineVersion struct{ weights, software string }
+
 func newHarness(weights ...string) *harness {
+	var versions []engineVersion
+	for _, w := range weights {
+		versions = append(versions, engineVersion{weights: w})
+	}
+	return newHarnessOf(1, versions...)
+}
+
+// newHarnessOf returns a number of gateways with an engine for each version.
+func newHarnessOf(gateways int, versions ...engineVersion) *harness {
 	h := &harness{records: make(chan gateway.RequestRecord, 16)}
 	key := catalogue.HashKey("secret")
 	c, err := catalogue.New(1, []catalogue.Object{
@@ -42,37 +64,90 @@
 		{Kind: "assistant", Name: "recipes", Value: json.RawMessage(`{"model":"m"}`)},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	for i, w := range weights {
+	for i, version := range versions {
 		engine := newFakeEngine()
+		engine.software = version.software
 		h.engines = append(h.engines, engine)
-		c.Upstreams = append(c.Upstreams, engine.upstream(fmt.Sprintf("u%d", i), w))
+		c.Upstreams = append(c.Upstreams, engine.upstream(fmt.Sprintf("u%d", i), version.weights))
 	}
+	h.catalogue.Store(c)
 	var ids atomic.Int64
+	h.newID = func() string { return fmt.Sprintf("req%d", ids.Add(1)) }
+	for range gateways {
+		h.startGateway(h.newID)
+	}
+	h.server = h.servers[0]
+	DeferCleanup(h.close)
+	return h
+}
+
+func (h *harness) startGateway(newID func() string) {
+	d := newDispatcher(h.catalogue.Load())
+	h.dispatchers = append(h.dispatchers, d)
+	acquire := func(ctx context.Context, r dispatch.Request) (*dispatch.Ticket, error) {
+		ticket, err := d.Acquire(ctx, r)
+		if ticket != nil {
+			ticket.HedgeDelay = h.hedgeDelay
+		}
+		return ticket, err
+	}
 	g := gateway.New(
-		gateway.WithConfiguration(func() gateway.Configuration { return gateway.Configuration{Catalogue: c, Leased: true} }),
-		gateway.WithAcquire(acquire(c)),
+		gateway.WithConfiguration(func() gateway.Configuration {
+			return gateway.Configuration{Catalogue: h.catalogue.Load(), Leased: true}
+		}),
+		gateway.WithAcquire(acquire),
 		gateway.WithClient(upstream.New(upstream.WithReadTimeout(50*time.Millisecond), upstream.WithHeaderTimeout(5*time.Second))),
-		gateway.WithIDs(func() string { return fmt.Sprintf("req%d", ids.Add(1)) }),
+		gateway.WithIDs(newID),
 		gateway.WithRecorder(func(r gateway.RequestRecord) { h.records <- r }),
 		gateway.WithLog(&log.Logger{Handler: discard.New(), Level: log.FatalLevel}),
 		gateway.WithMaxBodyBytes(1<<16),
 	)
-	h.server = httptest.NewServer(g.Handler())
-	DeferCleanup(h.close)
-	return h
+	h.servers = append(h.servers, httptest.NewServer(g.Handler()))
+}
+
+// restartGateway replaces a gateway by a new one.
+func (h *harness) restartGateway(i int) {
+	h.servers[i].CloseClientConnections()
+	h.servers[i].Close()
+	h.dispatchers[i].Stop()
+	h.startGateway(h.newID)
+	last := len(h.servers) - 1
+	h.servers[i], h.servers = h.servers[last], h.servers[:last]
+	h.dispatchers[i], h.dispatchers = h.dispatchers[last], h.dispatchers[:last]
+	h.publish()
+}
+
+// configure changes the configured upstreams of all gateways.
+func (h *harness) configure(change func(upstreams []catalogue.Upstream)) {
+	c := *h.catalogue.Load()
+	c.Upstreams = slices.Clone(c.Upstreams)
+	change(c.Upstreams)
+	h.catalogue.Store(&c)
+	h.publish()
 }
 
-// acquire returns the Acquire method of a dispatcher over the catalogue's upstreams.
-func acquire(c *catalogue.Catalogue) func(context.Context, dispatch.Request) (*dispatch.Ticket, error) {
-	d := dispatch.New(routing.New(routing.WithLocation("vm1", "c", "r"), routing.WithPolicy(routing.RoundRobin)))
+// publish gives the dispatchers the upstreams as the configuration and the engines' reports have them.
+func (h *harness) publish() {
+	c := *h.catalogue.Load()
+	c.Upstreams = order.Effective(c.Upstreams, h.reports)
+	for _, d := range h.dispatchers {
+		d.Configure(&c)
+	}
+}
+
+// newDispatcher returns a dispatcher over the catalogue's upstreams.
+func newDispatcher(c *catalogue.Catalogue) *dispatch.Dispatcher {
+	d := dispatch.New(routing.New(routing.WithLocation("vm1", "c", "r"), routing.WithPolicy(routing.RoundRobin), routing.WithShares(func(s *routing.Shares) { s.Hedge = 10 })))
 	d.Run()
 	DeferCleanup(d.Stop)
 	d.Configure(c)
-	return d.Acquire
+	return d
 }
 
 func (h *harness) close() {
-	h.server.Close()
+	for _, server := range h.servers {
+		server.Close()
+	}
 	for _, e := range h.engines {
 		close(e.release)
 		e.server.Close()
@@ -269,6 +344,16 @@
 		{"a wrong key", streamed, map[string]string{"Authorization": "Bearer other"}, 401, "Authorization"},
 		{"a deadline without a unit", streamed, map[string]string{"X-Deadline": "5"}, 400, "X-Deadline"},
 		{"a malformed event ID", streamed, map[string]string{"Last-Event-ID": "5"}, 400, "Last-Event-ID"},
+		{"an event ID with a part too many", streamed, map[string]string{"Last-Event-ID": "r:1:s0:x:4"}, 400, "Last-Event-ID"},
+		{"an event ID without weights", streamed, map[string]string{"Last-Event-ID": "r::s0:4"}, 400, "Last-Event-ID"},
+		{"an event ID whose number is too large", streamed, map[string]string{"Last-Event-ID": "r:1:s0:4294967296"}, 400, "Last-Event-ID"},
+		{"an event ID with an incomplete escape", streamed, map[string]string{"Last-Event-ID": "r:1:s%2:4"}, 400, "Last-Event-ID"},
+		{"an event ID with an escape that it isn't written with", streamed, map[string]string{"Last-Event-ID": "r:1:%730:4"}, 400, "Last-Event-ID"},
+		{"an event ID with a line feed in its software version", streamed, map[string]string{"Last-Event-ID": "r:1:s0%0A:4"}, 400, "Last-Event-ID"},
+		{"an event ID with too long a software version", streamed, map[string]string{"Last-Event-ID": "r:1:" + strings.Repeat("s", 129) + ":4"}, 400, "Last-Event-ID"},
+		{"too long an event ID", streamed, map[string]string{"Last-Event-ID": strings.Repeat("r", 4096) + ":1:4"}, 400, "Last-Event-ID"},
+		{"an event ID of a request that isn't streamed", strings.Replace(streamed, `"stream":true,`, "", 1), map[string]string{"Last-Event-ID": "r:1:4"}, 400, "Last-Event-ID"},
+		{"an event ID of a software version that nothing runs", streamed, map[string]string{"Last-Event-ID": "r:1:s9:4"}, 503, ""},
 	}
 	for _, w := range wrong {
 		It("answer "+w.name+" with the outcome 'not run' and the name of the field", func() {
