Refuse requests whose bodies have not come without waiting for them

What callers saw: a client that announces its body with Expect: 100-continue and waits to be asked for it got no refusal (401, 404, 503) until it had sent the body all the same, and the refusal of a long body that comes late was held until 256 KB of it had come.

Cause: net/http decides by the type of its request's body what to do with an unread rest. The guard replaced the body in that very request, so that the server read on before it wrote the answer's head, and kept the connection of a client that still owed the body it had announced.

Change: the handler gets a copy of the request with the body that is charged.

--- a/relay/callers/conn.go
+++ b/relay/callers/conn.go
@@ -202,8 +202,10 @@
 	copy(c.tail[:], both[len(both)-len(c.tail):])
 }
 
-// begin records that a handler has got a request. It reports false if its memory does not fit.
-func (c *conn) begin(r *http.Request) bool {
+// begin records that a handler has got a request, and returns the request for the handler, whose body is charged. It reports false if its
+// memory does not fit. The server's own request keeps its body, by whose type the server decides what to do with the rest of it.
+func (c *conn) begin(server *http.Request) (*http.Request, bool) {
+	r := server.WithContext(server.Context())
 	c.mu.Lock()
 	// A head that came in one read with a body of unknown length was not counted.
 	counted := c.phase == afterHead
@@ -241,7 +243,7 @@
 		}
 		return nil, granted
 	})
-	return (cost == 0 || c.reserve(Heads, cost)) && c.reserve(Answers, requestCost)
+	return r, (cost == 0 || c.reserve(Heads, cost)) && c.reserve(Answers, requestCost)
 }
 
 // headCost returns the memory of a parsed head.
--- a/relay/callers/server.go
+++ b/relay/callers/server.go
@@ -90,10 +90,13 @@
 	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := connectionOf(r.Context()); c != nil && !c.begin(r) {
-			g.record("request_refused")
-			refuse(w)
-			return
+		if c := connectionOf(r.Context()); c != nil {
+			var ok bool
+			if r, ok = c.begin(r); !ok {
+				g.record("request_refused")
+				refuse(w)
+				return
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
