Pass on no Expect: 100-continue with a body that follows at once

What callers saw: nothing themselves. An upstream got Expect: 100-continue although the body came with the head. One that answers such a request before it reads on, and does not skip the body, takes the body for a request (UNASKED).

Cause: Expect was forwarded as an end-to-end field. Bodies are read whole before the first send, so that nothing is asked of the upstream (RFC 9110, 10.1.1). The daemon's own path sends a list of named fields, without Expect.

Change: Expect is dropped with the hop-by-hop fields.

--- a/relay/forward/dialect.go
+++ b/relay/forward/dialect.go
@@ -85,7 +85,8 @@
 	ReadAnswer   func(status int, header http.Header) AnswerMetadata
 }
 
-// hopByHopHeaders are the hop-by-hop fields of HTTP, which are not forwarded.
+// hopByHopHeaders are the hop-by-hop fields of HTTP, which are not forwarded. Expect is one here: a body is read whole before the first
+// send, and follows its head at once.
 var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
--- a/relay/forward/unchanged_test.go
+++ b/relay/forward/unchanged_test.go
@@ -45,6 +45,7 @@
 // received is one send as its upstream received it.
 type received struct {
 	id, method, target string
+	header             http.Header
 	body               []byte
 	// whole reports that as many bytes of the body came as the head announces.
 	whole bool
@@ -74,7 +75,7 @@
 func (c *recorder) record(n int, r *http.Request, body []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sends[n-1] = received{id: r.Header.Get("X-Id"), method: r.Method, target: r.RequestURI, body: body, whole: err == nil}
+	c.sends[n-1] = received{id: r.Header.Get("X-Id"), method: r.Method, target: r.RequestURI, header: r.Header, body: body, whole: err == nil}
 }
 
 // recorded ends the upstreams, waits for their connections to end and returns the sends.
