Send the path by which a request was routed, also of a target without a host

Cause: a target that does not begin with a slash was cut at the first "://", which may stand in its query if the scheme is not followed by a host.

Change: the target is cut at the first colon, and the host after it only if two slashes come before it.

--- a/relay/callers/fuzz_test.go
+++ b/relay/callers/fuzz_test.go
@@ -1,10 +1,12 @@
 package callers_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"runtime/metrics"
 	"strings"
 	"testing"
@@ -134,3 +136,20 @@
 		send(t, guard, accepted, append([]byte(head), input...), size)
 	})
 }
+
+// FuzzTarget checks that a request's target is the path and query by which its route was chosen.
+func FuzzTarget(f *testing.F) {
+	for _, target := range []string{"/a%2Fb?x=1", "//a", "http://h/a", "http:/a?q=x://h/b", "http:///a", "x:a?q=x://h/b", "http://h?a", "*", "http://u@h:80#/a", "HTTP:/a"} {
+		f.Add(target)
+	}
+	f.Fuzz(func(t *testing.T, target string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n")))
+		if err != nil || !strings.HasPrefix(r.URL.Path, "/") {
+			return
+		}
+		sent, err := url.ParseRequestURI(callers.Target(r))
+		if err != nil || sent.Path != r.URL.Path || sent.RawQuery != r.URL.RawQuery {
+			t.Fatalf("%q is sent as %q: %v", target, callers.Target(r), err)
+		}
+	})
+}
--- a/relay/callers/target.go
+++ b/relay/callers/target.go
@@ -11,11 +11,15 @@
 	if strings.HasPrefix(r.RequestURI, "/") {
 		return r.RequestURI
 	}
-	_, rest, ok := strings.Cut(r.RequestURI, "://")
-	if !ok {
+	_, rest, ok := strings.Cut(r.RequestURI, ":")
+	if !ok || !strings.HasPrefix(rest, "/") {
 		return r.URL.RequestURI()
 	}
-	target := strings.TrimLeftFunc(rest, func(c rune) bool { return c != '/' && c != '?' })
+	host, ok := strings.CutPrefix(rest, "//")
+	if !ok {
+		return rest
+	}
+	target := strings.TrimLeftFunc(host, func(c rune) bool { return c != '/' && c != '?' })
 	if !strings.HasPrefix(target, "/") {
 		return "/" + target
 	}
--- a/relay/callers/target_test.go
+++ b/relay/callers/target_test.go
@@ -23,5 +23,8 @@
 	Entry("scheme, user, host and port", "HTTP://u@h:80//é?q=://x", "//é?q=://x"),
 	Entry("host without a path", "http://h", "/"),
 	Entry("host with a query alone", "http://h?a=/b", "/?a=/b"),
+	Entry("scheme alone", "http:/a?q=x://h/b", "/a?q=x://h/b"),
+	Entry("scheme and an empty host", "http:///a?q=x://h/b", "/a?q=x://h/b"),
+	Entry("neither host nor slash", "x:a?q=x://h/b", "a?q=x://h/b"),
 	Entry("no path", "*", "*"),
 )
