Take nothing that follows a request in HTTP/1.0 for another request

What callers would see: of a request in HTTP/1.0 whose body comes in chunks, or without a length, the upstream ran one with an empty body, and a request that stood in the body was run as well, with an ID that no caller sent (UNASKED).

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and deletes the field. A request without a length has no body for it, and with Connection: keep-alive it reads on behind the head. RFC 9112, 6.1 has such framing treated as faulty and the connection closed.

Change: the connection of a request in HTTP/1.0 ends with its answer, and a POST, PUT or PATCH in HTTP/1.0 without Content-Length is answered 400.

Left: other methods without a length run without a body, and a request with both fields has the body that its length names; what follows is not read.

--- a/relay/callers/server.go
+++ b/relay/callers/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 )
 
@@ -75,8 +76,9 @@
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
-// Protect makes a server tell the guard of its requests, and refuse those that do not fit. It must be called before the server serves.
+// Protect makes a server tell the guard of its requests, and refuse those that do not fit or whose bodies have no known end. It must be called before the server serves.
 func (g *Guard) Protect(server *http.Server) {
+	server.Handler = framed(server.Handler)
 	if g == nil {
 		return
 	}
@@ -102,13 +104,33 @@
 	})
 }
 
+// framed ends the connection of each request in HTTP/1.0, and refuses those whose bodies have no length. That version has no chunks: for
+// net/http a request without a length has no body, and what follows its head would be the next request.
+func framed(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoAtLeast(1, 1) {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		if _, ok := r.Header["Content-Length"]; !ok && (r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch) {
+			write(w, outcome.Refuse(outcome.BadRequest, "a request in HTTP/1.0 needs the length of its body; send Content-Length, or HTTP/1.1"))
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // refuse answers a request that does not fit into the memory for callers and has not run. It closes the connection, so that the rest of
 // the request isn't read.
 func refuse(w http.ResponseWriter) {
-	refused := Refusal()
-	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	w.Header().Set("Connection", "close")
+	write(w, Refusal())
+}
+
+func write(w http.ResponseWriter, refused *outcome.Refusal) {
+	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refused.Status())
 	// A write error means that the client has left.
 	_, _ = w.Write(refused.Body())
