Keep the fields that describe a request, whatever Connection names

What callers would see: a request whose Connection field names its ID, its model or its prompt's parts is handled by them, and reaches its upstream without them (UNASKED; the answer, which bears no ID either, matches nothing, and the caller waited until its deadline).

Cause: every field that Connection names was taken for a hop-by-hop one. RFC 9110, 7.6.1 forbids senders to name fields there that are meant for all recipients.

Change: a dialect names the fields that its callers and upstreams set for each other; these are kept in requests and answers.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -123,7 +123,7 @@
 // copyHeader copies the end-to-end fields of the upstream's header to the answer.
 func (s *session) copyHeader(answer *connection.Response) {
 	h := s.w.Header()
-	for name, values := range endToEndHeader(answer.Header) {
+	for name, values := range s.f.dialect.endToEndHeader(answer.Header) {
 		h[name] = values
 	}
 	if _, ok := h["Content-Type"]; !ok {
--- a/relay/forward/dialect.go
+++ b/relay/forward/dialect.go
@@ -83,6 +83,9 @@
 	// WriteRequest changes a copy of the caller's header into the header of the request to an upstream.
 	WriteRequest func(http.Header, UpstreamMetadata)
 	ReadAnswer   func(status int, header http.Header) AnswerMetadata
+	// EndToEnd are the canonical names of the fields that the caller and the upstream set for each other and that a Connection field can't
+	// remove: RFC 9110, 7.6.1 forbids to name such fields there.
+	EndToEnd []string
 }
 
 // hopByHopHeaders are the hop-by-hop fields of HTTP, which are not forwarded. Expect is one here: a body is read whole before the first
--- a/relay/forward/forward_test.go
+++ b/relay/forward/forward_test.go
@@ -29,6 +29,7 @@
 
 // dialect uses header names that only these tests know.
 var dialect = forward.Dialect{
+	EndToEnd: []string{"X-Id"},
 	ReadRequest: func(h http.Header) forward.RequestMetadata {
 		metadata := forward.RequestMetadata{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEventID: h.Get("Last-Event-Id")}
 		if ms, err := strconv.Atoi(h.Get("X-Wait")); err == nil {
--- a/relay/forward/forwarder.go
+++ b/relay/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -178,14 +179,16 @@
 }
 
 // endToEndHeader returns a copy of the header without hop-by-hop fields and without Content-Length.
-func endToEndHeader(h http.Header) http.Header {
+func (d *Dialect) endToEndHeader(h http.Header) http.Header {
 	out := make(http.Header, len(h)+8)
 	for name, values := range h {
 		out[name] = values
 	}
 	for _, list := range h["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			out.Del(strings.TrimSpace(name))
+		for _, text := range strings.Split(list, ",") {
+			if name := http.CanonicalHeaderKey(strings.TrimSpace(text)); !slices.Contains(d.EndToEnd, name) {
+				delete(out, name)
+			}
 		}
 	}
 	for _, name := range hopByHopHeaders {
--- a/relay/forward/framing_test.go
+++ b/relay/forward/framing_test.go
@@ -65,6 +65,15 @@
 	}
 })
 
+// Guards against requests that an upstream gets without the ID or the model by which the VM has handled them.
+var _ = It("a request is sent with the fields that describe it, whatever Connection names", func() {
+	sends := sendsOf("POST /book/ HTTP/1.1\r\n"+ownHead+"X-Hop: 1\r\nConnection: close, x-id, X-Hop, Host, Content-Length\r\nContent-Length: 5\r\n\r\n12345", 1000)
+	Expect(sends).To(HaveLen(1))
+	Expect(sends[0].id).To(Equal("1"))
+	Expect(string(sends[0].body)).To(Equal("12345"))
+	Expect(sends[0].header).NotTo(HaveKey("X-Hop"))
+})
+
 // smuggled is a request of which no caller knows where it stands in the body of another one, inChunks the same as a chunk.
 const smuggled = "POST /book/smuggled HTTP/1.1\r\nHost: h\r\nX-Id: 9\r\nX-Key: k\r\nContent-Length: 0\r\n\r\n"
 
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -336,7 +336,7 @@
 func (s *session) attempt(ctx context.Context, p *Placement) (done bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	header := endToEndHeader(s.r.Header)
+	header := s.f.dialect.endToEndHeader(s.r.Header)
 	salt := ""
 	if p.Salt != nil {
 		// The scope may have changed while the request was queued.
