--- a/relay/gateway/gateway_test.go
+++ b/relay/gateway/gateway_test.go
@@ -36,9 +36,11 @@
 	dispatchers []*dispatch.Dispatcher
 	// hedgeDelay is the time without an event after which a second attempt begins; 0 means never.
 	hedgeDelay time.Duration
-	engines    []*fakeEngine
-	records    chan gateway.RequestRecord
-	catalogue  atomic.Pointer[catalogue.Catalogue]
+	// readTimeout is the time in which engines must send the next event.
+	readTimeout time.Duration
+	engines     []*fakeEngine
+	records     chan gateway.RequestRecord
+	catalogue   atomic.Pointer[catalogue.Catalogue]
 	// reports are the engines' load reports as the gateways have them.
 	reports map[string]order.Report
 	newID   func() string
@@ -48,16 +50,25 @@
 type engineVersion struct{ weights, software string }
 
 func newHarness(weights ...string) *harness {
+	return newTimedHarness(50*time.Millisecond, weights...)
+}
+
+// newTimedHarness is newHarness with another time in which engines must send the next event.
+func newTimedHarness(readTimeout time.Duration, weights ...string) *harness {
 	var versions []engineVersion
 	for _, w := range weights {
 		versions = append(versions, engineVersion{weights: w})
 	}
-	return newHarnessOf(1, versions...)
+	return newTimedHarnessOf(readTimeout, 1, versions...)
 }
 
 // newHarnessOf returns a number of gateways with an engine for each version.
 func newHarnessOf(gateways int, versions ...engineVersion) *harness {
-	h := &harness{records: make(chan gateway.RequestRecord, 16)}
+	return newTimedHarnessOf(50*time.Millisecond, gateways, versions...)
+}
+
+func newTimedHarnessOf(readTimeout time.Duration, gateways int, versions ...engineVersion) *harness {
+	h := &harness{records: make(chan gateway.RequestRecord, 16), readTimeout: readTimeout}
 	key := catalogue.HashKey("secret")
 	c, err := catalogue.New(1, []catalogue.Object{
 		{Kind: "account", Name: "a", Value: json.RawMessage(fmt.Sprintf(`{"key":%q}`, key))},
@@ -96,7 +107,7 @@
 			return gateway.Configuration{Catalogue: h.catalogue.Load(), Leased: true}
 		}),
 		gateway.WithAcquire(acquire),
-		gateway.WithClient(upstream.New(upstream.WithReadTimeout(50*time.Millisecond), upstream.WithHeaderTimeout(5*time.Second))),
+		gateway.WithClient(upstream.New(upstream.WithReadTimeout(h.readTimeout), upstream.WithHeaderTimeout(5*time.Second))),
 		gateway.WithIDs(newID),
 		gateway.WithRecorder(func(r gateway.RequestRecord) { h.records <- r }),
 		gateway.WithLog(&log.Logger{Handler: discard.New(), Level: log.FatalLevel}),
