Treat unframed answers as broken if the upload was not written

Callers got a part of an answer as a complete one: an upstream answered a long upload at once with a 200 without a length, sent a part of its body, and reset the connection while the request was still being written. It happened on all four kinds of route.

A body above 4 KiB is written concurrently with reading the answer. The kernel reports a reset once, to the write or to the read, whichever comes first; the other one sees an orderly end, which marks the end of a body without a length.

At such an end Response.Read now waits for the write, at most 2 s, and returns an error unless the request was written as a whole. A repeatable request is sent elsewhere, with its body; others end with 502 or a closed connection. An upstream that ends its side in order and reads on keeps its complete answer, and answers with a length or in chunks are complete whatever became of the write. An upstream that closes without reading the upload resets the connection on Linux, so its answer can't be told from one that broke off. A declaration that a request has not run needs no body and is followed at once.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -28,6 +28,10 @@
 // maxSkippedBytes limits the body of one skipped response.
 const maxSkippedBytes = 1 << 20
 
+// maxUploadWait limits the wait for the rest of a request's body after a response without a length has ended with its connection: an
+// upstream may end its side in order and go on reading.
+const maxUploadWait = 2 * time.Second
+
 // NotSentError wraps the error of a request of which no byte was written.
 type NotSentError struct{ Cause error }
 
@@ -89,7 +93,7 @@
 	// ByChunks is a body in chunks, which ends with the last one.
 	ByChunks Framing = "chunks"
 	// UntilClose is a body with neither: it ends where the upstream closes the connection, so that a body which broke off can look
-	// complete.
+	// complete. Read takes it as complete only if the request was written as a whole.
 	UntilClose Framing = "close"
 )
 
@@ -260,12 +264,38 @@
 // Read reads the body. It returns io.EOF only after the complete body; a truncated body is another error.
 func (resp *Response) Read(into []byte) (int, error) {
 	n, err := resp.body.Read(into)
-	if errors.Is(err, io.EOF) {
-		resp.finish()
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if resp.Framing == UntilClose && resp.body != http.NoBody {
+		if err := resp.awaitUpload(); err != nil {
+			resp.discard()
+			return n, err
+		}
 	}
+	resp.finish()
 	return n, err
 }
 
+// awaitUpload waits until the request's body is written and returns an error if it could not be. The kernel reports a reset once, to the
+// write or to the read, whichever comes first; after the write the read returns io.EOF, as at an orderly end.
+func (resp *Response) awaitUpload() error {
+	timer := time.NewTimer(maxUploadWait)
+	defer timer.Stop()
+	select {
+	case <-resp.written:
+	case <-timer.C:
+		return fmt.Errorf("%w: the response has no length, and the upstream closed the connection without reading the request", io.ErrUnexpectedEOF)
+	}
+	err := <-resp.writeDone
+	// Sent still needs it.
+	resp.writeDone <- err
+	if err != nil {
+		return fmt.Errorf("%w: the response has no length, and the connection ended while the request was written: %w", io.ErrUnexpectedEOF, err)
+	}
+	return nil
+}
+
 // finish returns the connection to the pool if the response is complete and the request's body is written, and closes it otherwise.
 func (resp *Response) finish() {
 	resp.once.Do(func() {
--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -27,8 +27,13 @@
 	maxEventBytes = 1 << 20
 )
 
-// discardAnswer reads a short answer to its end, so that its connection can be reused; the connection of a longer one is closed.
+// discardAnswer reads a short answer to its end, so that its connection can be reused; the connection of a longer one, or of one that ends
+// with it, is closed.
 func discardAnswer(a *connection.Response) {
+	if a.Framing == connection.UntilClose {
+		a.Close()
+		return
+	}
 	if n, err := io.Copy(io.Discard, io.LimitReader(a, maxDiscardedBytes)); err != nil || n == maxDiscardedBytes {
 		a.Close()
 	}
