Treat answers with an invalid status as broken

An upstream in trouble answered with status 000, 001 or 099. net/http panics when such a status is written, so the caller's connection was closed without an answer. An answer of 600 to 999 reached the caller, and 101, which no request asks for, was skipped as an interim answer, so that what followed it could become the answer. The calls that a VM makes for itself took all of these as answers. "+20" and "-00" parse as well.

http.ReadResponse checks only that a status has three characters that make a number of 0 or more. HTTP has 100 to 599; a client is to treat others as a failure of the server.

The connection now ends an exchange with such a status in one place, for all requests: its connection is closed, and the request may have run. A repeatable one is sent elsewhere, others get 502.

The panic left behind the placement of each stream and of each answer above 256 KiB, which never ended; shorter answers counted as finished. Reservations, silence watches and records ended.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -210,7 +210,10 @@
 		default:
 			return err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if err := CheckStatus(response.StatusCode); err != nil {
+			return err
+		}
+		if response.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimResponses {
 				return fmt.Errorf("upstream sent more than %d interim responses; check what answers at its address", maxInterimResponses)
 			}
@@ -236,6 +239,18 @@
 	}
 }
 
+// ErrNoStatus means that an upstream sent a status with which nothing is an answer to a request.
+var ErrNoStatus = errors.New("upstream answered with an invalid status; check what answers at its address")
+
+// CheckStatus returns ErrNoStatus for a status outside 100 to 599, all that HTTP knows, which http.ReadResponse accepts. So it does for 101,
+// after which another protocol is spoken, since no request asks for one.
+func CheckStatus(status int) error {
+	if status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: %03d", ErrNoStatus, status)
+	}
+	return nil
+}
+
 // skipForeign reads the body of a response to another request to its end.
 func (resp *Response) skipForeign(response *http.Response) error {
 	resp.pooledConn.pool.count(func(n *Counters) { n.Foreign++ })
