--- a/relay/vm/metrics_test.go
+++ b/relay/vm/metrics_test.go
@@ -26,7 +26,7 @@
 func newTestCounters() *counters {
 	node := control.New("vm", 1)
 	rates := newAccountRates(settings.Default(), newState(Adapter{}, log.Log), node, log.Log)
-	return newCounters(connection.NewPool(), pause.New(), control.NewHost(node), &peerMesh{mesh: peer.New(), dispatch: dispatch.New(routing.New())}, rates, nil)
+	return newCounters(connection.NewPool(), pause.New(), control.NewHost(node), &peerMesh{mesh: peer.New(), dispatch: dispatch.New(routing.New()), origins: newTestOrigins(1)}, rates, nil)
 }
 
 var _ = Describe("metrics", func() {
