Treat answers with an invalid status as broken in the daemon

An upstream that answered with a status outside 100 to 599 was believed: callers of plain services got 600 and 999 with its bytes, and such an answer to a booking was recorded. A status below 100, and 101, was skipped as an interim answer, so that the next bytes on the connection could become the answer to a call, a booking or an order. A text request that got a 101 with an upgrade waited for its text.

http.ReadResponse and http.Transport pass on any status of three digits. Both ways on which the client reads responses now check it as the pool of connections does, and fail the call, which may have run.

Answers without a length whose connection is reset during the upload are not affected here: calls of services are read after they are written, and a text is complete only with its end event.

--- a/relay/upstream/client.go
+++ b/relay/upstream/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/buffer"
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/pause"
 )
 
@@ -98,6 +99,22 @@
 	return t
 }
 
+// roundTrip sends a request and returns when the response's header has arrived. The transport passes on any status of three digits; the body
+// of a 101 with an upgrade is the connection, whose reads the request's context doesn't end.
+func (c *Client) roundTrip(address netip.AddrPort, request *http.Request) (*http.Response, error) {
+	response, err := c.transport(address).RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := connection.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		// The connection of a response without a body is idle already.
+		c.CloseIdle(address)
+		return nil, err
+	}
+	return response, nil
+}
+
 // NewText returns a text in the memory of upstreams' answers, for an answer that is held until it is complete.
 func (c *Client) NewText() *buffer.Text { return c.memory.NewText() }
 
--- a/relay/upstream/limit.go
+++ b/relay/upstream/limit.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 )
 
 const (
@@ -50,6 +52,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := connection.CheckStatus(response.StatusCode); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			limited.left = limit
 			return response, nil
--- a/relay/upstream/load.go
+++ b/relay/upstream/load.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.transport(address).RoundTrip(request)
+	response, err := c.roundTrip(address, request)
 	if err != nil {
 		if ctx.Err() != nil {
 			// If this connection timed out, the idle connections to the upstream may be broken too.
--- a/relay/upstream/stream.go
+++ b/relay/upstream/stream.go
@@ -73,7 +73,7 @@
 		return nil, err
 	}
 	setHeaders(request.Header, call)
-	response, err := c.transport(call.Upstream.Address).RoundTrip(request)
+	response, err := c.roundTrip(call.Upstream.Address, request)
 	if err != nil {
 		err = c.cause(ctx, call, err)
 		watch.stop()
--- a/relay/upstream/transfer.go
+++ b/relay/upstream/transfer.go
@@ -86,7 +86,7 @@
 	if err := c.permit(address); err != nil {
 		return nil, err
 	}
-	response, err := c.transport(address).RoundTrip(request)
+	response, err := c.roundTrip(address, request)
 	if err != nil {
 		return nil, err
 	}
