--- a/relay/forward/reset_answer_test.go
+++ b/relay/forward/reset_answer_test.go
@@ -59,21 +59,26 @@
 
 // upload posts a body of the given length and returns the status and the text of the answer, and an error if it isn't complete.
 func upload(server *httptest.Server, path string, size int) (int, string, error) {
+	status, text, _, err := uploadTo(server.URL+path, size)
+	return status, text, err
+}
+
+// uploadTo is upload for a URL; it returns the answer's header too.
+func uploadTo(url string, size int) (int, string, http.Header, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, strings.NewReader(strings.Repeat("x", size)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(strings.Repeat("x", size)))
 	if err != nil {
-		return 0, "", err
+		return 0, "", nil, err
 	}
 	r.Host, r.Header = "h", http.Header{"X-Id": {"1"}, "X-Key": {"k"}}
-	transport := &http.Transport{DisableKeepAlives: true}
-	answer, err := transport.RoundTrip(r)
+	answer, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return 0, "", err
+		return 0, "", nil, err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	text, err := io.ReadAll(answer.Body)
-	return answer.StatusCode, string(text), err
+	return answer.StatusCode, string(text), answer.Header, err
 }
 
 // resettingAfter answers at once, without reading the body, and resets the connection after a pause.
