Pass on no event of an upstream whose software version changed after the placement

A stream that was bound to a software version, since its answer had begun or its caller had taken it up, could get the events of an upstream that was listed with another version between the placement and its first event, as one that starts again under its ID. Only the first upstream of a new stream was compared with the list then. For a take-up the events were passed on as well, and only a further resumption was ruled out.

The first event of each attempt at a bound stream is compared now; the attempt counts as broken, and the stream goes on elsewhere.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -169,6 +169,10 @@
 			// The closing blank line of its last event is all that shows that a stream which ends with its connection is complete.
 			err = errNoEvent
 		}
+		if received == 0 && len(event) > 0 && s.placementRequest.Software != nil && s.softwareChanged(p.Upstream) {
+			err = errSoftwareChanged
+			return s.attemptFailed(ctx, p, err, Failure{Received: s.begun, Status: answer.Status, Metadata: answerMetadata}), err
+		}
 		if len(event) > 0 {
 			if isProgress(event, id) {
 				timer.eventReceived()
--- a/relay/forward/origins.go
+++ b/relay/forward/origins.go
@@ -101,6 +101,9 @@
 	return now != nil && now.Software != u.Software
 }
 
+// errSoftwareChanged ends the attempt to go on with a stream at an upstream that may have sent its events at another software version.
+var errSoftwareChanged = errors.New("the upstream is listed with another software version than when the request was placed there")
+
 // software returns the software version that the request is bound to, for the log.
 func (s *session) software() string {
 	if s.placementRequest == nil || s.placementRequest.Software == nil {
