Keep the versions that a service was listed with for as long as they are asked for

A stream without a record goes on at the only version that was listed for twice the longest timeout of the routes, an hour at most. A version was forgotten 20 minutes after its last listing, so that with timeouts above 10 minutes the version that was left could be taken for the only one of the whole time, and a stream could go on at another version than its own.

The longest time asked for and the time kept are one constant now. The new spec failed before (one version instead of two) and passes.

--- a/relay/origin/history.go
+++ b/relay/origin/history.go
@@ -6,6 +6,9 @@
 // longer, also if it ends at once.
 const maxGap = 5 * time.Second
 
+// MaxWindow is the longest time for which Listed may be asked; versions that were last listed before are forgotten.
+const MaxWindow = time.Hour
+
 // History has the software versions that each service was listed with.
 type History struct {
 	// since is the first of the readings without a longer gap, readAt the last one.
@@ -66,7 +69,7 @@
 	}
 	for service, versions := range h.seenAt {
 		for software, at := range versions {
-			if readAt-at > 2*maxRemaining {
+			if readAt-at > MaxWindow+maxGap {
 				delete(versions, software)
 			}
 		}
@@ -122,7 +125,7 @@
 	Software string
 }
 
-// Listed returns the versions that a service was listed with in the given time until now.
+// Listed returns the versions that a service was listed with in the given time until now, MaxWindow at most.
 func (h *History) Listed(now time.Duration, service string, window time.Duration) (l Listed) {
 	for version, at := range h.seenAt[service] {
 		if at >= now-window {
--- a/relay/origin/origin_test.go
+++ b/relay/origin/origin_test.go
@@ -160,6 +160,15 @@
 		expectSole(h, 81*time.Second, "v2")
 	})
 
+	// Guards against a version that is forgotten before the time of a stream is over, on routes with long timeouts.
+	It("names none until the last reading with another version is older than the longest stream", func() {
+		h := origin.NewHistory()
+		observe(h, 0, 10*time.Minute, "v1")
+		observe(h, 10*time.Minute+time.Second, 69*time.Minute, "v2")
+		Expect(h.Listed(35*time.Minute, "llm", 30*time.Minute).Count).To(Equal(2))
+		Expect(h.Listed(69*time.Minute, "llm", time.Hour).Count).To(Equal(2))
+	})
+
 	// Guards against versions that come and go while nobody reads the list.
 	It("names none after a gap between two readings, or while the last one is old", func() {
 		h := origin.NewHistory()
--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -322,7 +322,7 @@
 			longest = max(longest, table.State.Routes[i].Timeout)
 		}
 	}
-	return max(minStreamTime, min(streamTimes*longest, time.Hour))
+	return max(minStreamTime, min(streamTimes*longest, origin.MaxWindow))
 }
 
 // find returns where the stream of an attempt began that its caller takes up on a route to a service. The error is the refusal of a stream
