Begin the IDs of lookups of streams at random

A VM numbered its questions to control VMs from 1 in each process. A control VM that was suspended while the VM started again could answer a question of the process before with the number of a question in progress, and the stream that was taken up went on at the version of another one.

The numbers begin at random now. The new spec failed before (the reply to the process before was taken) and passes.

--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -60,7 +61,8 @@
 	// flushedAt is when records were last sent.
 	flushedAt time.Duration
 	lookups   map[uint64]*originLookup
-	last      uint64
+	// last is the ID of the last lookup. It begins at random: replies to the process that this VM ran before may still come.
+	last uint64
 	// boots are the last incarnations of the other VMs, completed those of the control VMs that have got all records.
 	boots, completed map[string]uint64
 	// file is nil on a VM without a data folder.
@@ -92,7 +94,7 @@
 		options = append(options, origin.WithNewSystem())
 	}
 	o := &origins{
-		state: st, host: host, mesh: m, log: logger, registry: origin.NewRegistry(limit), history: origin.NewHistory(options...), lookups: map[uint64]*originLookup{}, boots: map[string]uint64{}, completed: map[string]uint64{}, file: file,
+		state: st, host: host, mesh: m, log: logger, registry: origin.NewRegistry(limit), history: origin.NewHistory(options...), lookups: map[uint64]*originLookup{}, boots: map[string]uint64{}, completed: map[string]uint64{}, file: file, last: rand.Uint64(),
 	}
 	m.origins = o
 	return o
--- a/relay/vm/origins_test.go
+++ b/relay/vm/origins_test.go
@@ -5,12 +5,15 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/chicoryrelay/chicoryrelay/relay/control"
 	"github.com/chicoryrelay/chicoryrelay/relay/origin"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
+	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
 
 // recordsOf returns the records of a number of streams that began at two versions.
@@ -74,6 +77,29 @@
 	})
 })
 
+var _ = Describe("lookup of where a stream began", func() {
+	// Guards against a reply that a control VM, suspended meanwhile, sends to the VM's next process, where it would tell of another stream.
+	It("takes no reply to a question of the process that this VM ran before", func() {
+		start := func() (*origins, *peer.OriginRequest, *originLookup) {
+			node := control.New("vm", 1)
+			o := newOrigins(settings.Default(), newState(Adapter{}, log.Log), control.NewHost(node), &peerMesh{mesh: peer.New(), host: control.NewHost(node)}, log.Log)
+			request := &peer.OriginRequest{Service: "kiosk"}
+			lookup, end := o.begin(request)
+			DeferCleanup(end)
+			lookup.Ask([]string{"c1"})
+			return o, request, lookup
+		}
+		_, before, _ := start()
+		o, own, lookup := start()
+		o.receiveReply("c1", &peer.OriginReply{Id: before.Id, Knowledge: uint32(origin.Known), Service: "kiosk", Software: "v1"})
+		Expect(lookup.Found()).To(BeFalse())
+		o.receiveReply("c1", &peer.OriginReply{Id: own.Id, Knowledge: uint32(origin.Known), Service: "kiosk", Software: "v2"})
+		found, knowledge, _ := o.result(lookup)
+		Expect(knowledge).To(Equal(origin.Known))
+		Expect(found.Software).To(Equal("v2"))
+	})
+})
+
 // BenchmarkOrigins receives messages with the records of one VM's new streams at a control VM.
 func BenchmarkOrigins(b *testing.B) {
 	for _, count := range []int{1, 28} {
