Keep the end of an idle connection that was taken and not used

A connection on which a request was not sent, since its caller had left or its upstream had asked for no requests meanwhile, was kept for another 20 s, whatever its upstream had said in Keep-Alive. A later request could be written while the upstream closed the connection, and then counted as one that may have run.

Such a connection keeps its end now.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -119,11 +119,11 @@
 	}
 	// A dial takes a while, in which the upstream may have asked for no requests.
 	if err := p.permitted(r); err != nil {
-		p.putIdle(c, 0)
+		p.putBack(c)
 		return nil, err
 	}
 	if err := ctx.Err(); err != nil {
-		p.putIdle(c, 0)
+		p.putBack(c)
 		return nil, &NotSentError{Cause: err}
 	}
 	resp := &Response{pooledConn: c, Reused: c.used, writeDone: make(chan error, 1), written: make(chan struct{})}
--- a/relay/connection/pool.go
+++ b/relay/connection/pool.go
@@ -180,6 +180,20 @@
 		idle = defaultIdleTimeout + idleMargin
 	}
 	c.expires = p.now().Add(idle - idleMargin)
+	p.keep(c)
+}
+
+// putBack returns a connection to the pool on which nothing was sent since it was taken. A kept one expires when it would have.
+func (p *Pool) putBack(c *pooledConn) {
+	if c.expires.IsZero() {
+		p.putIdle(c, 0)
+		return
+	}
+	p.keep(c)
+}
+
+// keep adds a connection to the idle ones until it expires.
+func (p *Pool) keep(c *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdlePerUpstream || !p.now().Before(c.expires) {
--- a/relay/connection/pool_test.go
+++ b/relay/connection/pool_test.go
@@ -237,7 +237,10 @@
 		Eventually(left).Should(Receive(HaveOccurred()))
 	})
 
-	It("is closed one second before the upstream's Keep-Alive timeout", func() {
+	// expectExpiry sends a request to an upstream that keeps connections for 3 s, calls a function and expects the connection to be closed
+	// after 2 s.
+	expectExpiry := func(use func(s *upstream)) {
+		GinkgoHelper()
 		now := time.Now()
 		pool = connection.NewPool(connection.WithNow(func() time.Time { return now }))
 		DeferCleanup(pool.Close)
@@ -247,9 +250,24 @@
 			}
 		})
 		expectBody(pool, s, "1")
+		use(s)
+		Expect(pool.Open(s.address())).To(Equal(1))
 		now = now.Add(2100 * time.Millisecond)
 		pool.Prune()
 		Expect(pool.Open(s.address())).To(BeZero())
+	}
+
+	It("is closed one second before the upstream's Keep-Alive timeout", func() { expectExpiry(func(*upstream) {}) })
+
+	// Guards against requests on a connection that the upstream is about to close, of which nobody knows whether they have run.
+	It("is closed no later if it was taken for a request that was not sent", func() {
+		expectExpiry(func(s *upstream) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_, err := pool.Do(ctx, s.address(), newRequest("2", ""))
+			var notSent *connection.NotSentError
+			Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
+		})
 	})
 })
 
