Draw bodies that trickle, and answers long before a body is in, in the property

Cause: the property over sends had no callers whose bodies trickle or whose chunks have extensions and zeros, and on two of its three paths none that announce the body. Upstreams that answer early read on at once, so that most bodies were written whole by then, and in relay/forward bytes that are due to no request went unnoticed.

Change: these are drawn. In relay/forward upstreams have a small receive buffer and read on 5 ms after an early answer; bytes that can't be parsed as a request fail the test, and so does one without the ID of a request.

--- a/relay/forward/unchanged_test.go
+++ b/relay/forward/unchanged_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -37,8 +38,14 @@
 	fails
 	breaks
 	completes
+	// declinesLate and completesLate answer before the request is in, keep the connection and read on a while later.
+	declinesLate
+	completesLate
 )
 
+// lateTime is long enough for the VM to have dealt with an answer.
+const lateTime = 5 * time.Millisecond
+
 // hangTime is longer than the deadline of callers that have one.
 const hangTime = 40 * time.Millisecond
 
@@ -47,8 +54,8 @@
 	id, method, target string
 	header             http.Header
 	body               []byte
-	// whole reports that as many bytes of the body came as the head announces.
-	whole bool
+	// whole reports that as many bytes of the body came as the head announces, early that the answer came before them.
+	whole, early bool
 }
 
 // recorder is a group of upstreams that go through one list of conducts, the last one again and again, and record all sends.
@@ -56,7 +63,9 @@
 	mu       sync.Mutex
 	conducts []conduct
 	sends    []received
-	running  sync.WaitGroup
+	// malformed are the errors of requests that could not be parsed: bytes that are due to no request.
+	malformed []string
+	running   sync.WaitGroup
 	// listeners are those of the upstreams, each of which accepts connections until it is closed.
 	listeners []net.Listener
 }
@@ -72,10 +81,21 @@
 	return next, len(c.sends)
 }
 
-func (c *recorder) record(n int, r *http.Request, body []byte, err error) {
+func (c *recorder) record(n int, r *http.Request, body []byte, err error, early bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sends[n-1] = received{id: r.Header.Get("X-Id"), method: r.Method, target: r.RequestURI, header: r.Header, body: body, whole: err == nil, early: early}
+}
+
+// recordUnparsed records an error of http.ReadRequest unless it is the end of the connection.
+func (c *recorder) recordUnparsed(err error) {
+	var network *net.OpError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sends[n-1] = received{id: r.Header.Get("X-Id"), method: r.Method, target: r.RequestURI, header: r.Header, body: body, whole: err == nil}
+	c.malformed = append(c.malformed, err.Error())
 }
 
 // recorded ends the upstreams, waits for their connections to end and returns the sends.
@@ -99,6 +119,8 @@
 			if err != nil {
 				return
 			}
+			// A body longer than the buffers is not written whole before the upstream reads it.
+			_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 			c.running.Go(func() {
 				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
@@ -115,6 +137,7 @@
 func (c *recorder) serve(conn net.Conn, reader *bufio.Reader) bool {
 	r, err := http.ReadRequest(reader)
 	if err != nil {
+		c.recordUnparsed(err)
 		return false
 	}
 	next, n := c.next()
@@ -123,17 +146,23 @@
 	}
 	begun := strings.Replace(chunked, "X-Id: 1", "X-Id: "+r.Header.Get("X-Id"), 1)
 	if next == cuts {
-		c.record(n, r, nil, io.ErrUnexpectedEOF)
+		c.record(n, r, nil, io.ErrUnexpectedEOF, false)
 		return false
 	}
 	if next == hangs {
 		time.Sleep(hangTime)
 	}
-	if next == declinesEarly {
+	switch next {
+	case declinesEarly, declinesLate:
 		answer(503, "X-Not-Run: 1\r\n", "")
+	case completesLate:
+		_, _ = io.WriteString(conn, begun+chunk(event(n))+"0\r\n\r\n")
+	}
+	if next == declinesLate || next == completesLate {
+		time.Sleep(lateTime)
 	}
 	body, err := io.ReadAll(r.Body)
-	c.record(n, r, body, err)
+	c.record(n, r, body, err, next == declinesEarly || next == declinesLate || next == completesLate)
 	switch next {
 	case closes, hangs:
 		return false
@@ -165,6 +194,8 @@
 	hurried bool
 	// follows sends the request on the connection of the one before, without waiting for that one's answer.
 	follows bool
+	// trickles sends the request in pieces with pauses, extended has extensions, zeros and sizes of one byte in the chunks.
+	trickles, extended bool
 }
 
 // targets are ends of paths, and queries, that a parser may write in another way.
@@ -178,7 +209,7 @@
 		id: id, method: []string{"POST", "PUT", "DELETE", "GET", "HEAD"}[random.IntN(5)], target: path + targets[random.IntN(len(targets))],
 		body: make([]byte, pick(0, 1, 999, 4095, 4096, 4097, 70_000, 900_000)), chunked: random.IntN(2) == 0, leaves: random.IntN(10) == 0,
 		absolute: random.IntN(4) == 0, expects: random.IntN(4) == 0, trailed: random.IntN(4) == 0, follows: random.IntN(3) == 0,
-		hurried: random.IntN(4) == 0,
+		hurried: random.IntN(4) == 0, trickles: random.IntN(4) == 0, extended: random.IntN(4) == 0,
 	}
 	for i := range q.body {
 		q.body[i] = byte(random.IntN(256))
@@ -191,17 +222,18 @@
 func drawConducts(random *rand.Rand) []conduct {
 	var list []conduct
 	for range random.IntN(6) {
-		list = append(list, []conduct{closes, cuts, hangs, declines, declinesEarly}[random.IntN(5)])
+		list = append(list, []conduct{closes, cuts, hangs, declines, declinesEarly, declinesLate}[random.IntN(6)])
 	}
 	for range 1 + random.IntN(4) {
-		list = append(list, []conduct{fails, breaks, completes, declinesEarly}[random.IntN(4)])
+		list = append(list, []conduct{fails, breaks, completes, declinesEarly, declinesLate, completesLate}[random.IntN(6)])
 	}
 	return list
 }
 
 // expectUnchanged sends the requests at once to a VM with an amount of memory, 0 for no limit, and expects every send to bear what its
-// caller sent, and none to be made of a body that did not come to its end. It returns how many were sent on a kept connection.
-func expectUnchanged(conducts []conduct, memory int64, requests ...sentRequest) (reused uint64) {
+// caller sent, and none to be made of a body that did not come to its end. It returns how many were sent on a kept connection, and how
+// many were answered before they were in and have ended with a part of the body.
+func expectUnchanged(conducts []conduct, memory int64, requests ...sentRequest) (reused, cut uint64) {
 	GinkgoHelper()
 	group, fake, pool := &recorder{conducts: conducts}, &fakePlacer{}, connection.NewPool()
 	upstreams := []directory.Upstream{group.upstream(), group.upstream(), group.upstream()}
@@ -225,7 +257,12 @@
 	callers.Wait()
 	server.Close()
 	pool.Close()
-	for i, send := range group.recorded() {
+	sends := group.recorded()
+	Expect(group.malformed).To(BeEmpty())
+	for i, send := range sends {
+		if send.early && !send.whole {
+			cut++
+		}
 		if send.method == "" && !send.whole {
 			continue
 		}
@@ -233,13 +270,14 @@
 		Expect(ok).To(BeTrue(), "send %d has the ID %q", i+1, send.id)
 		Expect(q.torn).To(BeFalse(), "send %d is of a body without its end", i+1)
 		Expect(send.method+" "+send.target).To(Equal(q.method+" "+q.target), "send %d", i+1)
+		Expect(send.header).NotTo(HaveKey("Expect"), "send %d", i+1)
 		if send.whole {
 			Expect(bytes.Equal(send.body, q.body)).To(BeTrue(), "send %d has %d bytes instead of the caller's %d, or others; upstreams %v", i+1, len(send.body), len(q.body), conducts)
 		} else {
 			Expect(bytes.HasPrefix(q.body, send.body)).To(BeTrue(), "the part of send %d", i+1)
 		}
 	}
-	return pool.Counters().Reused
+	return pool.Counters().Reused, cut
 }
 
 // sendAll sends requests on one connection as their caller and reads the answers.
@@ -256,8 +294,16 @@
 		_, _ = io.Copy(io.Discard, conn)
 	}()
 	for i, q := range requests {
+		text := q.encode(i == len(requests)-1)
+		if q.trickles {
+			for ; len(text) > 20; time.Sleep(time.Millisecond) {
+				n := max(10, len(text)/3)
+				_, _ = io.WriteString(conn, text[:n])
+				text = text[n:]
+			}
+		}
 		// An error means that the VM refused the request before it was in.
-		_, _ = io.WriteString(conn, q.encode(i == len(requests)-1))
+		_, _ = io.WriteString(conn, text)
 		if q.torn {
 			_ = conn.(*net.TCPConn).CloseWrite()
 		}
@@ -294,9 +340,12 @@
 	}
 	text.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 	for rest := q.body; len(rest) > 0; {
-		part := rest[:min(len(rest), 3000)]
+		part, format := rest[:min(len(rest), 3000)], "%x\r\n%s\r\n"
+		if q.extended {
+			part, format = rest[:min(len(rest), 1+len(rest)/2)], "0%X;a=\"b\"\r\n%s\r\n"
+		}
 		rest = rest[len(part):]
-		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(part), part)
+		fmt.Fprintf(&text, format, len(part), part)
 	}
 	switch {
 	case q.torn:
@@ -328,7 +377,7 @@
 	})
 
 	It("with drawn requests and upstreams", func() {
-		reused := uint64(0)
+		reused, cut := uint64(0), uint64(0)
 		for seed := range seeds() {
 			By(fmt.Sprintf("seed %d", seed))
 			random := rand.New(rand.NewPCG(seed, 45))
@@ -338,10 +387,13 @@
 				for i := range 1 + random.IntN(4) {
 					requests = append(requests, drawRequest(random, strconv.Itoa(i)))
 				}
-				reused += expectUnchanged(drawConducts(random), memory, requests...)
+				kept, left := expectUnchanged(drawConducts(random), memory, requests...)
+				reused, cut = reused+kept, cut+left
 			}
 		}
+		AddReportEntry("sends", fmt.Sprintf("%d on kept connections, %d cut after an early answer", reused, cut))
 		// Bytes that are left of one send can only get into another one on a kept connection.
 		Expect(reused).To(BeNumerically(">", seeds()))
+		Expect(cut).To(BeNumerically(">", 0))
 	})
 })
--- a/relay/gateway/unchanged_test.go
+++ b/relay/gateway/unchanged_test.go
@@ -63,6 +63,7 @@
 // received is one send as its upstream received it.
 type received struct {
 	id, method, target, tag string
+	header                  http.Header
 	body                    []byte
 	// whole reports that as many bytes of the body came as the head announces.
 	whole bool
@@ -106,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sends[n-1] = received{
-		id: r.Header.Get("X-Request-Id"), method: r.Method, target: r.RequestURI, tag: r.Header.Get("Accept-Language"), body: body, whole: err == nil,
+		id: r.Header.Get("X-Request-Id"), method: r.Method, target: r.RequestURI, tag: r.Header.Get("Accept-Language"), header: r.Header, body: body, whole: err == nil,
 	}
 }
 
@@ -246,13 +247,19 @@
 	chunked, torn bool
 	// leaves closes the connection without waiting for the answer, again sends the request a second time.
 	leaves, again bool
+	// expects announces the body with Expect: 100-continue and sends it at once, trickles sends it in pieces with pauses, extended has
+	// extensions and zeros in the sizes of its chunks.
+	expects, trickles, extended bool
 }
 
 // drawRequest draws a request with a body around the sizes at which its handling changes.
 func drawRequest(random *rand.Rand, tag string) sentRequest {
 	sizes := []int{0, 1, 999, 4095, 4096, 4097, 70_000, 900_000, maxUnchangedBody, maxUnchangedBody + 1}
 	size := sizes[random.IntN(len(sizes))]
-	q := sentRequest{tag: tag, chunked: random.IntN(2) == 0, leaves: random.IntN(10) == 0}
+	q := sentRequest{
+		tag: tag, chunked: random.IntN(2) == 0, leaves: random.IntN(10) == 0,
+		expects: random.IntN(4) == 0, trickles: random.IntN(4) == 0, extended: random.IntN(4) == 0,
+	}
 	if random.IntN(2) == 0 {
 		q.drawCall(random, size)
 	} else {
@@ -309,6 +316,9 @@
 // text returns the head of the request, and the body as it is sent.
 func (q sentRequest) text() (head string, body []byte) {
 	head = fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n%s", q.method, q.path, q.header)
+	if q.expects {
+		head += "Expect: 100-continue\r\n"
+	}
 	if !q.chunked {
 		body = q.body
 		if q.torn {
@@ -316,8 +326,12 @@
 		}
 		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(q.body)), body
 	}
+	format := "%x\r\n%s\r\n"
+	if q.extended {
+		format = "0%X;a=\"b\"\r\n%s\r\n"
+	}
 	for part := range slices.Chunk(q.body, 3000) {
-		body = append(append(fmt.Appendf(body, "%x\r\n", len(part)), part...), "\r\n"...)
+		body = fmt.Appendf(body, format, len(part), part)
 	}
 	if !q.torn {
 		body = append(body, "0\r\n\r\n"...)
@@ -354,7 +368,15 @@
 	written := make(chan error, 1)
 	go func() {
 		// An error means that the gateway refused the request before it was in.
-		_, err := conn.Write(append([]byte(head), body...))
+		text := append([]byte(head), body...)
+		if q.trickles {
+			for ; len(text) > 20; time.Sleep(time.Millisecond) {
+				n := max(10, len(text)/3)
+				_, _ = conn.Write(text[:n])
+				text = text[n:]
+			}
+		}
+		_, err := conn.Write(text)
 		if err == nil && q.torn {
 			err = conn.(*net.TCPConn).CloseWrite()
 		}
@@ -366,6 +388,9 @@
 		return
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: q.method})
+	for err == nil && response.StatusCode == http.StatusContinue {
+		response, err = http.ReadResponse(c.reader, &http.Request{Method: q.method})
+	}
 	if err != nil {
 		c.close()
 		<-written
@@ -460,6 +485,7 @@
 		if send.method == "" {
 			continue
 		}
+		Expect(send.header).NotTo(HaveKey("Expect"), "send %d", i+1)
 		tag := send.tag
 		if send.toEngine() {
 			tag = gjson.GetBytes(send.body, "user").Str
