Release the memory of a request's body for that request only

What callers would see: rarely, after an upstream had answered before a long body was in, a VM that takes no more requests.

Cause: the body of such a request is released when its send ends, which an early answer makes happen at the end of the request. Whether the request was still in progress was asked first and the memory released after it, so that the connection's next request could begin in between. Its memory was released instead; if that body was refused for want of memory as it grew, the guard found more released than charged, and panicked with its lock held.

Change: a request has a number on its connection, which is compared under the guard's lock.

--- a/relay/callers/conn.go
+++ b/relay/callers/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -37,6 +38,8 @@
 	// grant carries the answer to the reservation that waits.
 	grant     chan bool
 	closeOnce sync.Once
+	// requests counts the requests that have begun and ended, under the guard's lock. It is odd while one is in progress.
+	requests uint64
 
 	mu    sync.Mutex
 	phase phase
@@ -205,7 +208,13 @@
 // begin records that a handler has got a request, and returns the request for the handler, whose body is charged. It reports false if its
 // memory does not fit. The server's own request keeps its body, by whose type the server decides what to do with the rest of it.
 func (c *conn) begin(server *http.Request) (*http.Request, bool) {
-	r := server.WithContext(server.Context())
+	var number uint64
+	c.guard.update(func(*Core, time.Duration) ([]ID, []ID) {
+		c.requests |= 1
+		number = c.requests
+		return nil, nil
+	})
+	r := server.WithContext(context.WithValue(server.Context(), requestKey{}, number))
 	c.mu.Lock()
 	// A head that came in one read with a body of unknown length was not counted.
 	counted := c.phase == afterHead
@@ -271,6 +280,7 @@
 	}
 	c.mu.Unlock()
 	c.guard.update(func(core *Core, now time.Duration) (closed, granted []ID) {
+		c.requests = (c.requests | 1) + 1
 		// A head can't begin in the stage Running.
 		core.Enter(now, c.id, Idle)
 		core.Enter(now, c.id, stage)
--- a/relay/callers/server.go
+++ b/relay/callers/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
@@ -73,8 +74,11 @@
 	}
 }
 
-// connectionKey is the context key of a request's connection.
-type connectionKey struct{}
+// connectionKey is the context key of a request's connection, requestKey that of its number on it.
+type (
+	connectionKey struct{}
+	requestKey    struct{}
+)
 
 // Protect makes a server tell the guard of its requests, and refuse those that do not fit or whose bodies have no known end. It must be called before the server serves.
 func (g *Guard) Protect(server *http.Server) {
@@ -155,9 +159,18 @@
 	}
 }
 
-// ReleaseBody returns the memory of a request's body, which the handler no longer holds.
+// ReleaseBody returns the memory of a request's body, which the handler no longer holds. It has no effect once the request has ended: its
+// connection may carry another one by then.
 func ReleaseBody(ctx context.Context) {
-	if c := connectionOf(ctx); c != nil {
-		c.releaseAll(Bodies)
+	c := connectionOf(ctx)
+	if c == nil {
+		return
 	}
+	number, _ := ctx.Value(requestKey{}).(uint64)
+	c.guard.update(func(core *Core, _ time.Duration) ([]ID, []ID) {
+		if c.requests != number {
+			return nil, nil
+		}
+		return nil, core.ReleaseAll(c.id, Bodies)
+	})
 }
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -294,12 +294,7 @@
 	}
 	s.body, s.bodyReleased = nil, true
 	ctx := s.r.Context()
-	answer.AfterSent(func() {
-		// The caller's connection may carry another request once this one has ended.
-		if ctx.Err() == nil {
-			callers.ReleaseBody(ctx)
-		}
-	})
+	answer.AfterSent(func() { callers.ReleaseBody(ctx) })
 }
 
 // attempts returns the number of upstreams at which the request may run.
