Refuse streams without a record on routes that several services share

A caller's take-up without a record was judged by the service that was drawn for it, so that a stream could go on at another service than the one that began it. Its own service is not known then; the take-up is refused.

--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -124,6 +124,17 @@
 	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
+// IsShared reports whether several services share the requests of the route.
+func (r *Route) IsShared() bool {
+	services := 0
+	for _, share := range r.Split {
+		if share.Weight > 0 {
+			services++
+		}
+	}
+	return services > 1
+}
+
 // PickService returns the service for a request, at random by weight; draw is a random number in [0, 1).
 func (r *Route) PickService(draw float64) string {
 	sum := 0
--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -350,6 +350,10 @@
 			found, knowledge, isRecord = o.result(lookup)
 		}
 	}
+	if knowledge == origin.Known && !isRecord && r.Route.IsShared() {
+		// The service at which the stream began isn't known.
+		knowledge = origin.Unknown
+	}
 	entry := o.log.WithFields(log.Fields{"request": r.ID, "resumes": attempt, "service": found.Service, "software": found.Software, "record": isRecord, "age": time.Since(r.Arrived)})
 	if knowledge == origin.Known {
 		entry.Info("stream taken up")
