Tell no age of a board that a new leader does not pass on

A new leader that has not read the platform's list yet keeps its board from a VM that has another one, but told the board's age. The VM took its own board, which lacks upstreams, for as new as that. Its history of software versions then covered a time whose versions it had not seen, and it did not read the list itself.

The age is unknown in such a grant, as in that of a leader without a board. The new spec failed before (9 s instead of 6 s) and passes, as does the whole package.

--- a/relay/control/board.go
+++ b/relay/control/board.go
@@ -47,7 +47,12 @@
 	}
 	grant.Aged = uint32(min(math.MaxUint32, (now - v.listedAt).Milliseconds()))
 	outdated := v.listedAt < v.leaderSince && now < v.leaderSince+boardWait
-	if v.board.GetChecksum() != held && (!outdated || held == 0) {
+	switch {
+	case v.board.GetChecksum() == held:
+	case outdated && held != 0:
+		// The age of this board says nothing of the holder's.
+		grant.Aged = math.MaxUint32
+	default:
 		grant.Board = v.board
 	}
 }
--- a/relay/control/board_test.go
+++ b/relay/control/board_test.go
@@ -66,6 +66,16 @@
 		Entry("left out if there is none, without making the VM's own list look new", leader(nil, 0), now, uint64(1), nil, 30*24*time.Hour),
 	)
 
+	// Guards against a VM that takes its board for one with all upstreams of a newer list, and a stream of such an upstream for another's.
+	It("does not make another board look as new as the one that is left out", func() {
+		holder := &Node{board: boardOf(1, entry("b", false)), listedAt: 6 * time.Second, at: ClockReading{Now: now}}
+		grant := &peer.LeaseGrant{}
+		leader(board, 9*time.Second).addBoard(now, grant, holder.board.GetChecksum())
+		holder.updateBoard(grant)
+		Expect(holder.board.GetChecksum()).To(Equal(uint64(1)))
+		Expect(holder.listedAt).To(Equal(6 * time.Second))
+	})
+
 	// Guards against a VM that leads again and passes on the board of its earlier leadership in place of a newer one that it has received.
 	DescribeTable("is, at the start of a leadership,",
 		func(received *peer.Board, receivedAt time.Duration, kept *peer.Board, keptAt time.Duration, expected uint64) {
