Send the records of streams to a control VM in parts, unsorted

All records were sorted under the lock that each message of a peer takes: 78 to 100 ms with 262,144 records, each time a control VM started. They were then sent in one message of several megabytes. Nothing needs their order; messages have 4,096 records at most now.

--- a/relay/origin/registry.go
+++ b/relay/origin/registry.go
@@ -142,12 +142,11 @@
 	return r.origins[e.origin], Known
 }
 
-// Records returns all records, ordered by their keys.
+// Records returns all records in no particular order.
 func (r *Registry) Records(now time.Duration) []Record {
 	r.prune(now)
 	records := make([]Record, 0, len(r.entries))
-	for _, key := range slices.SortedFunc(maps.Keys(r.entries), func(a, b Key) int { return slices.Compare(a[:], b[:]) }) {
-		e := r.entries[key]
+	for key, e := range r.entries {
 		records = append(records, Record{Key: key, Origin: r.origins[e.origin], Several: e.several, Until: time.Duration(e.slot-1) * slot})
 	}
 	return records
--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -40,6 +40,8 @@
 	// maxEntryRecords and maxControlRecords limit the records of a VM, of about 100 bytes each.
 	maxEntryRecords   = 1 << 15
 	maxControlRecords = 1 << 18
+	// maxMessageRecords limits the records of one message, of 22 bytes each.
+	maxMessageRecords = 4096
 	// minStreamTime and streamTimes say for how long one software version alone must have been listed to be the one of a stream without a
 	// record: a caller's time limit is at most so many times the longest timeout of the routes.
 	minStreamTime = 30 * time.Second
@@ -186,8 +188,8 @@
 			held = append(held, r)
 		}
 	}
-	if len(held) > 0 {
-		o.mesh.mesh.Send(name, &peer.Envelope{Body: &peer.Envelope_Origins{Origins: encodeOrigins(now, held)}})
+	for part := range slices.Chunk(held, maxMessageRecords) {
+		o.mesh.mesh.Send(name, &peer.Envelope{Body: &peer.Envelope_Origins{Origins: encodeOrigins(now, part)}})
 	}
 }
 
