Enter no list into the history of versions as newer than it is

The time of a reading was stored before its list, and read after the list, so that the list before it could be entered at the new time until the next entry. Found by reading; no run showed it.

--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -130,8 +130,9 @@
 
 // observe enters the present list into the history; the caller holds the lock.
 func (o *origins) observe() {
-	list := o.state.list.Load()
+	// The time is read first: a list may be newer than it, not older.
 	readAt := max(o.host.View().ListedAt, time.Duration(o.state.readAt.Load()))
+	list := o.state.list.Load()
 	if list == nil || readAt == 0 {
 		return
 	}
