--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -111,6 +111,8 @@
 		},
 		OnStop: func(context.Context) error {
 			cancel()
+			// The sessions to the control VMs are closed later.
+			o.flush()
 			return nil
 		},
 	})
