Send the drawn bodies of a spec through small buffers

The spec on sends that bear what their caller sent asks that some sends are cut after an early answer.

The pool of the spec dials with a send buffer that holds no long body, as the specs on resets do.

--- a/relay/forward/unchanged_test.go
+++ b/relay/forward/unchanged_test.go
@@ -235,7 +235,7 @@
 // many were answered before they were in and have ended with a part of the body.
 func expectUnchanged(conducts []conduct, memory int64, requests ...sentRequest) (reused, cut uint64) {
 	GinkgoHelper()
-	group, fake, pool := &recorder{conducts: conducts}, &fakePlacer{}, connection.NewPool()
+	group, fake, pool := &recorder{conducts: conducts}, &fakePlacer{}, connection.NewPool(connection.WithDial(dialSmall))
 	upstreams := []directory.Upstream{group.upstream(), group.upstream(), group.upstream()}
 	for range 20 {
 		// Upstreams that come again get requests on kept connections.
