Withhold statuses that promise what an upstream has not declared

Callers saw: a booking that a replica had run and then failed with a 503 of its own was answered 503, which promises that it has not run.

Cause: whether an attempt has run is read from the declaration and the mark in its header, but the status of a marked answer went to the caller whatever it promised. 408, 421, 429 and 503 are a promise, other statuses are none. It is so in every framing and size, alone and before or after an upstream that refused the request, and for streams that may not be resumed. A status of an earlier attempt can't get out: what has run and may not be repeated is not sent again.

Change: such an answer to a request that must not run twice ends as 502 with the outcome "may have run"; nothing of the upstream's answer is passed on, since its mark stands for its status. The upstream is counted as before, as one that has answered. The line "answer withheld" has its status, the line "failed" the caller's. A request that may be repeated still gets the answer unchanged: its caller may send it again whatever became of it.

--- a/relay/forward/answer.go
+++ b/relay/forward/answer.go
@@ -54,7 +54,11 @@
 		s.recordRun(p.Upstream)
 		s.logAttempt(p, "upstream failed the request", answer.Status, nil)
 		p.Fail(Failure{Sent: true, Received: true, Status: answer.Status, Metadata: answerMetadata})
-		return false, errors.New("the upstream failed the request with status " + strconv.Itoa(answer.Status))
+		return false, &statusError{answer.Status}
+	}
+	if outcome.PromisesNotRun(answer.Status) && !s.route.Repeatable() {
+		s.withhold(ctx, p, answerMetadata)
+		return true, nil
 	}
 	s.copyHeader(answer)
 	switch {
@@ -86,6 +90,23 @@
 	return true, nil
 }
 
+// statusError is the cause of an attempt that its upstream failed with a status of its own.
+type statusError struct{ status int }
+
+// Error implements error.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("the upstream failed the request with status %d", e.status)
+}
+
+// withhold ends a request that must not run twice without its upstream's answer: the status promises that the request has not run, but the
+// upstream has not declared it so. Nothing of the answer is passed on, since its mark stands for its status.
+func (s *session) withhold(ctx context.Context, p *Placement, answerMetadata AnswerMetadata) {
+	s.recordRun(p.Upstream)
+	s.logAttempt(p, "answer withheld", answerMetadata.Status, nil)
+	p.Finish(answerMetadata)
+	s.fail(ctx, &statusError{answerMetadata.Status})
+}
+
 func totalLength(parts [][]byte) int {
 	total := 0
 	for _, part := range parts {
@@ -369,10 +390,14 @@
 		s.status = http.StatusGatewayTimeout
 	}
 	s.refusalKind = outcome.UpstreamFailed
-	text := ""
+	text, remedy := "", "the upstream failed before it sent a complete answer; the request may have run, so check its effect before you retry it"
 	if cause != nil {
 		text = cause.Error()
 	}
+	var failed *statusError
+	if errors.As(cause, &failed) {
+		remedy = fmt.Sprintf("the upstream failed the request with status %d; the request may have run, so check its effect before you retry it", failed.status)
+	}
 	s.f.log.WithFields(log.Fields{
 		"request": s.metadata.ID, "status": s.status, "age": s.f.now().Sub(s.arrived), "sends": s.sends, "runs": s.runs, "cause": text,
 	}).Info("failed")
@@ -380,7 +405,7 @@
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.WriteHeader(s.status)
 	// A write error means that the caller left; the failure is logged above.
-	_, _ = s.w.Write(outcome.RefuseUncertain(outcome.UpstreamFailed, "the upstream failed before it sent a complete answer; the request may have run, so check its effect before you retry it").Body())
+	_, _ = s.w.Write(outcome.RefuseUncertain(outcome.UpstreamFailed, "%s", remedy).Body())
 }
 
 // abort closes the caller's connection within an answer, so that the answer does not look complete. It panics with
