--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,6 +17,7 @@
 // cases are the cases by name; each returns whether the rule held.
 var cases = map[string]func(s *site, trouble bool) (held bool, err error){
 	"budget":   budget,
+	"late":     late,
 	"software": software,
 	"wall":     wall,
 }
