Share cached prompts only while the lease is valid

Callers saw: a tenant became isolated while one entry VM was cut off from the control VMs.

Cause: the two sides of the lease disagreed on when a change is in force. The leader declares it once the lease of each VM that has not installed it has ended, but such a VM shared cached prompts for another whole lease, so that the election of a leader made no prompts cold. A new leader declares changes in the same way.

Change: Host.Current has no grace. Time for which the machine was suspended counts in full, by the wall clock; up to a lease of it was ignored. peer.WithDial and vm.WithPeerDial are seams for tests.

--- a/relay/control/host.go
+++ b/relay/control/host.go
@@ -45,9 +45,9 @@
 	return at.Wall.Round(0).Sub(v.leasedAt.Wall.Round(0)) - (at.Now - v.leasedAt.Now)
 }
 
-// isCurrent reports whether the lease is valid, or was within the grace, as far as both clocks show.
-func (v *View) isCurrent(at ClockReading, grace time.Duration) bool {
-	return v.LeasedUntil > 0 && at.Now < v.LeasedUntil+grace && v.missedTime(at) < grace
+// isCurrent reports whether the lease is valid, as far as both clocks show.
+func (v *View) isCurrent(at ClockReading) bool {
+	return at.Now+max(0, v.missedTime(at)) < v.LeasedUntil
 }
 
 // RegistryTime returns an upper bound of the leader's registry time at a time of the monotonic clock; zero before the first lease.
@@ -259,11 +259,9 @@
 // Leased reports whether the VM holds a valid lease now.
 func (h *Host) Leased() bool { return h.Now() < h.View().LeasedUntil }
 
-// Current reports whether the VM holds a valid lease, or held one within the grace: a change that it has not installed was not in force
-// before its lease ended. A machine that was suspended since its lease was granted doesn't know.
-func (h *Host) Current(grace time.Duration) bool {
-	return h.View().isCurrent(h.clockReading(), grace)
-}
+// Current reports whether the installed configuration has every change that is in force: the leader declares no other one in force before
+// the lease has ended. Time for which the machine was suspended since its lease was granted counts.
+func (h *Host) Current() bool { return h.View().isCurrent(h.clockReading()) }
 
 // Boot returns the VM's boot number.
 func (h *Host) Boot() uint64 { return h.View().Boot }
--- a/relay/forward/forwarder.go
+++ b/relay/forward/forwarder.go
@@ -53,7 +53,7 @@
 	stopped context.Context
 	stop    context.CancelCauseFunc
 	active  atomic.Int64
-	// current reports whether the table has every change that is in force, or had until a moment ago.
+	// current reports whether the table has every change that is in force.
 	current  func() bool
 	recorder func(RequestRecord)
 	// watch is the function of WithWatch, or nil.
@@ -105,8 +105,7 @@
 // WithBudget sets the retry budget.
 func WithBudget(b *Budget) Option { return func(f *Forwarder) { f.budget = b } }
 
-// WithCurrent sets the function that reports whether the table has every change that is in force, or had until a moment ago. While it does
-// not, no account shares cached prompts with another, since one may have become isolated.
+// WithCurrent sets the function that reports whether the table has every change that is in force. While it does not, no account shares cached prompts with another, since one may have become isolated.
 func WithCurrent(current func() bool) Option { return func(f *Forwarder) { f.current = current } }
 
 // WithLog sets the log.
--- a/relay/peer/mesh.go
+++ b/relay/peer/mesh.go
@@ -50,6 +50,8 @@
 	log              log.Interface
 	counters         Counters
 	bounds           Bounds
+	// dialTCP is the function of WithDial.
+	dialTCP func(context.Context, netip.AddrPort) (net.Conn, error)
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -98,6 +100,11 @@
 // WithBounds sets the bounds of the peers' listener; by default there are none.
 func WithBounds(b Bounds) Option { return func(m *Mesh) { m.bounds = b } }
 
+// WithDial replaces the TCP dialer of the sessions to other VMs.
+func WithDial(dial func(context.Context, netip.AddrPort) (net.Conn, error)) Option {
+	return func(m *Mesh) { m.dialTCP = dial }
+}
+
 // WithLog sets the logger; the default is the global one of the log package.
 func WithLog(logger log.Interface) Option { return func(m *Mesh) { m.log = logger } }
 
@@ -110,6 +117,10 @@
 			Listen: func(l net.Listener) net.Listener { return l }, Admit: func(net.Conn) {}, Hold: func(net.Conn, int) bool { return true }, Release: func(net.Conn) {},
 		},
 	}
+	m.dialTCP = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		dialer := net.Dialer{Timeout: m.sessionTimeout}
+		return dialer.DialContext(ctx, "tcp", address.String())
+	}
 	for _, option := range options {
 		option(m)
 	}
@@ -235,8 +246,7 @@
 			}
 			continue
 		}
-		dialer := net.Dialer{Timeout: m.sessionTimeout}
-		conn, err := dialer.DialContext(ctx, "tcp", address.String())
+		conn, err := m.dialTCP(ctx, address)
 		if err == nil {
 			backoff = m.heartbeat / 4
 			m.runClient(conn, l.name)
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -54,14 +54,14 @@
 // initialises the replicated log: each seed writes the same initial state with incarnation 1, in any order, and can repeat an
 // interrupted attempt, since a VM has cast no vote before its identity is durable. Any other VM with an empty data folder gets a
 // new incarnation and votes only once the other voters have admitted it.
-func newVoter(s settings.Settings, st *state, openDisk diskOpener, logger log.Interface) (*control.Voter, error) {
+func newVoter(s settings.Settings, st *state, outside *edges, logger log.Interface) (*control.Voter, error) {
 	if s.Data == "" {
 		return nil, nil
 	}
 	if err := os.MkdirAll(s.Data, 0o700); err != nil {
 		return nil, oops.Hint("make the data folder writable").Wrapf(err, "data")
 	}
-	disk := openDisk(s.Data)
+	disk := outside.openDisk(s.Data)
 	names := seedNames(s)
 	if s.Discovered.First && slices.Contains(names, s.Name) {
 		initialised, err := journal.Bootstrapped(disk)
@@ -132,8 +132,7 @@
 		st.setList(directory.Decode(b), st.now(), "leader")
 	}), control.WithGrantHandler(func(g *peer.QuotaGrant) { mesh.onGrant(s.Name, g) }))
 	st.registryTime = func() time.Time { return host.View().RegistryTime(host.Now()) }
-	// Control VMs that elect a new leader renew no lease for about as long as one lasts.
-	st.current = func() bool { return host.Current(s.Times.Lease) }
+	st.current = host.Current
 	return host
 }
 
@@ -165,13 +164,13 @@
 	broadcastPeers atomic.Pointer[[]string]
 }
 
-func newMesh(s settings.Settings, node *control.Node, d *dispatch.Dispatcher, guard *callers.Guard, logger log.Interface) *peerMesh {
+func newMesh(s settings.Settings, node *control.Node, d *dispatch.Dispatcher, guard *callers.Guard, outside *edges, logger log.Interface) *peerMesh {
 	m := &peerMesh{dispatch: d, onCacheRequest: func(string) {}, onGrant: func(string, *peer.QuotaGrant) {}, name: s.Name, centre: s.Centre, regions: s.Discovered.Centres, servesCallers: s.Listeners.Callers.IsValid(), dialled: map[string]bool{}, seeds: seedNames(s)}
-	m.mesh = peer.New(
+	m.mesh = peer.New(append([]peer.Option{
 		peer.WithName(s.Name, s.Centre, node.Incarnation().Boot), peer.WithAddress(s.Listeners.Peers), peer.WithReceive(m.receive),
 		peer.WithHeartbeat(s.Times.Heartbeat, s.Times.Silence), peer.WithHeartbeatSpacing(m.heartbeatSpacing), peer.WithLog(logger),
 		peer.WithBounds(guard.PeerBounds()),
-	)
+	}, outside.meshOptions...)...)
 	d.OnPlacement(m.broadcast)
 	d.OnQuarantine(dispatch.QuarantineSender(m.mesh, m.controls, logger))
 	return m
--- a/relay/vm/run.go
+++ b/relay/vm/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +16,7 @@
 	"github.com/chicoryrelay/chicoryrelay/coord/journal"
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/logbook"
+	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
 
@@ -26,15 +29,24 @@
 	pruneInterval = 5 * time.Second
 )
 
-// diskOpener gives access to a data folder.
-type diskOpener func(folder string) journal.Disk
+// edges are the functions through which a VM reaches its disk and the network.
+type edges struct {
+	openDisk func(folder string) journal.Disk
+	// meshOptions are further options of the mesh of peer sessions.
+	meshOptions []peer.Option
+}
 
 // Option changes how a VM is started.
-type Option func(*diskOpener)
+type Option func(*edges)
 
 // WithDisk sets the function that gives access to the data folder of a control VM; the default is journal.Folder.
 func WithDisk(open func(folder string) journal.Disk) Option {
-	return func(o *diskOpener) { *o = open }
+	return func(e *edges) { e.openDisk = open }
+}
+
+// WithPeerDial replaces the TCP dialer of the sessions to other VMs.
+func WithPeerDial(dial func(context.Context, netip.AddrPort) (net.Conn, error)) Option {
+	return func(e *edges) { e.meshOptions = append(e.meshOptions, peer.WithDial(dial)) }
 }
 
 // VM is a running VM.
@@ -50,9 +62,9 @@
 // start.
 func Start(path string, adapter Adapter, output io.Writer, options ...Option) (*VM, error) {
 	reload := newReloadSignals()
-	openDisk := diskOpener(journal.Folder)
+	outside := &edges{openDisk: journal.Folder}
 	for _, option := range options {
-		option(&openDisk)
+		option(outside)
 	}
 	s, err := settings.Load(path)
 	if err != nil {
@@ -66,7 +78,7 @@
 	v.log = (&log.Logger{Handler: v.handler, Level: level}).WithField("vm", s.Name)
 	v.log.WithFields(log.Fields{"centre": s.Centre, "first": s.Discovered.First, "seeds": len(s.Discovered.Seeds), "data": s.Data}).Info("start")
 	v.app = fx.New(
-		fx.Supply(s, settingsFile(path), reload, adapter, openDisk, fx.Annotate(v.log, fx.As(new(log.Interface)))),
+		fx.Supply(s, settingsFile(path), reload, adapter, outside, fx.Annotate(v.log, fx.As(new(log.Interface)))),
 		fx.Provide(
 			newPauses, newPool, newBudget, newGuard, newState, newVoter, newNode, newHost, newMesh, newDispatcher, newPlacer, newSilence, newAccountRates, newOrigins, newForwarder, newCounters, newOrderSender, newOperators,
 		),
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -38,7 +38,7 @@
 	registryTime func() time.Time
 	// isNewSystem is set on a control VM that starts the system for the first time, while the components are built.
 	isNewSystem bool
-	// current reports whether the desired state is the one in force, or was until a moment ago. It is set while the components are built.
+	// current reports whether the desired state has every change that is in force. It is set while the components are built.
 	current func() bool
 	// onChange is called after each change of the routes, weights versions, upstreams or roster, in part while mu is locked. It is
 	// set while the components are built.
