Look up a request's scope once its connection has been made

The scope that keeps cached prompts apart was looked up before the connection to the upstream was made, which takes up to 1.5 s where its first packets are lost. A request could leave that much later under a scope that was no longer allowed.

Cause: as for the lease, a belief was used past the time at which it was checked.

Change: connection.Request.BeforeSend is called between the dial and the write; the forwarder writes the fields for the upstream there, among them the time that is left, which counted the dial as well.

Evidence: the spec with a change of the desired state, and with a lease that ends, while the connection is made failed before and passes.

--- a/relay/connection/exchange.go
+++ b/relay/connection/exchange.go
@@ -57,6 +57,8 @@
 	Matches func(h http.Header, reused bool) bool
 	// ForceNew forces a new connection instead of an idle one.
 	ForceNew bool
+	// BeforeSend, if set, is called with Header immediately before the request is sent: a dial may have taken a while.
+	BeforeSend func(http.Header)
 	// Upstream is the ID of the upstream that is meant, for the functions of WithPermit and WithObserver; empty for other receivers.
 	Upstream string
 }
@@ -126,6 +128,9 @@
 		p.putBack(c)
 		return nil, &NotSentError{Cause: err}
 	}
+	if r.BeforeSend != nil {
+		r.BeforeSend(r.Header)
+	}
 	resp := &Response{pooledConn: c, Reused: c.used, writeDone: make(chan error, 1), written: make(chan struct{})}
 	c.used = true
 	resp.stop = context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
--- a/relay/forward/scope_test.go
+++ b/relay/forward/scope_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -49,6 +50,12 @@
 // newScopeSite returns a site with two upstreams, of which the first breaks its streams off after one event. The functions, if given, are
 // called once each: while a request is placed, and before its stream breaks off.
 func newScopeSite(first *route.Table, whilePlacing, beforeBreak func(*scopeSite)) *scopeSite {
+	GinkgoHelper()
+	return newDialledScopeSite(first, whilePlacing, nil, beforeBreak)
+}
+
+// newDialledScopeSite returns such a site with a function that is called while the first connection to an upstream is made.
+func newDialledScopeSite(first *route.Table, whilePlacing, whileDialling, beforeBreak func(*scopeSite)) *scopeSite {
 	GinkgoHelper()
 	s := &scopeSite{}
 	s.table.Store(first)
@@ -76,7 +83,15 @@
 		}
 		return p, err
 	}
-	pool, budget := connection.NewPool(), forward.NewBudget()
+	var dialled sync.Once
+	pool, budget := connection.NewPool(connection.WithDial(func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		dialled.Do(func() {
+			if whileDialling != nil {
+				whileDialling(s)
+			}
+		})
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+	})), forward.NewBudget()
 	budget.SetLimits(1, 100)
 	budget.SetVMs(1)
 	s.Server = httptest.NewServer(forward.New(
@@ -112,6 +127,13 @@
 		Expect(salts(newScopeSite(open, install(othersIsolated), nil))).To(HaveEach(saltOf(othersIsolated)))
 	})
 
+	// Guards against cached prompts of an account that has become isolated, or may have, while a connection was made.
+	It("is that of the desired state in force when the connection has been made", func() {
+		Expect(salts(newDialledScopeSite(open, nil, install(othersIsolated), nil))).To(HaveEach(saltOf(othersIsolated)))
+		s := newDialledScopeSite(open, nil, func(s *scopeSite) { s.outdated.Store(true) }, nil)
+		Expect(salts(s)).To(HaveEach(saltOf(isolated)))
+	})
+
 	It("is that of the desired state in force when the stream is resumed", func() {
 		Expect(salts(newScopeSite(open, nil, install(othersIsolated)))).To(Equal([]string{saltOf(open), saltOf(othersIsolated)}))
 		Expect(salts(newScopeSite(open, nil, install(isolated)))).To(Equal([]string{saltOf(open), saltOf(isolated)}))
--- a/relay/forward/session.go
+++ b/relay/forward/session.go
@@ -332,15 +332,6 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	header := s.f.dialect.endToEndHeader(s.r.Header)
-	salt := ""
-	if p.Salt != nil {
-		// The scope may have changed while the request was queued.
-		salt = p.Salt(s.scope())
-	}
-	s.f.dialect.WriteRequest(header, UpstreamMetadata{
-		Request: &s.metadata, Account: s.accountName(), Upstream: p.Upstream.ID, Remaining: time.Until(s.placementRequest.Deadline), Salt: salt, Weights: p.Weights,
-		Priority: p.Priority, FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, LastEventID: s.lastEventID,
-	})
 	if s.sends == 0 {
 		s.f.budget.Deposit(s.placementRequest.Service.Name)
 	}
@@ -364,7 +355,8 @@
 			return candidate.ID == id || !reused && candidate.ID == "" && (candidate.NotRun || !candidate.FromUpstream)
 		},
 		// An answer to an earlier attempt, which has the same ID, can't come on a new connection.
-		ForceNew: slices.Contains(s.sentTo, p.Upstream.Address),
+		ForceNew:   slices.Contains(s.sentTo, p.Upstream.Address),
+		BeforeSend: func(h http.Header) { s.writeMetadata(h, p) },
 	})
 	s.sentTo = append(s.sentTo, p.Upstream.Address)
 	if err != nil {
@@ -403,6 +395,19 @@
 	return s.forwardBuffered(ctx, p, answer, answerMetadata, timer)
 }
 
+// writeMetadata adds the fields for the upstream of a placement to the header of an attempt. The scope and the time that is left may have
+// changed while the request was queued or its connection was made.
+func (s *session) writeMetadata(header http.Header, p *Placement) {
+	salt := ""
+	if p.Salt != nil {
+		salt = p.Salt(s.scope())
+	}
+	s.f.dialect.WriteRequest(header, UpstreamMetadata{
+		Request: &s.metadata, Account: s.accountName(), Upstream: p.Upstream.ID, Remaining: time.Until(s.placementRequest.Deadline), Salt: salt, Weights: p.Weights,
+		Priority: p.Priority, FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, LastEventID: s.lastEventID,
+	})
+}
+
 // errNotRun is the cause of an attempt that the upstream declared not run.
 var errNotRun = errors.New("the upstream did not run the request")
 
