Measure leases by a clock that counts suspension

Go's monotonic clock stands still while a machine is suspended, though package lease asks for one that continues. A VM that was suspended went on with a lease that had ended; of its uses only the sharing of cached prompts looked at the wall clock. On the other side, a leader that was suspended while another one was elected took its last contact with a quorum for recent, and granted leases after it had woken, under which changes of the new leader could be missed.

Change: the Host's clock is the kernel's boot clock.

No machine could be suspended here.

--- a/relay/control/host.go
+++ b/relay/control/host.go
@@ -26,10 +26,8 @@
 	Catalogue *catalogue.Catalogue
 	// LeasedUntil is when the lease expires on the monotonic clock.
 	LeasedUntil time.Duration
-	// leasedAt is when the lease was renewed last.
-	leasedAt ClockReading
-	Leader   string
-	Boot     uint64
+	Leader      string
+	Boot        uint64
 	// LedgerSequence is the newest ledger sequence (number of applied ledger commands) that this VM has received.
 	LedgerSequence uint64
 	// ListedAt is the latest time at which the leader can have read the platform's list for its board; zero without a board.
@@ -40,16 +38,6 @@
 	registryKnown bool
 }
 
-// missedTime returns the time that the monotonic clock has missed since the lease was renewed, as on a machine that was suspended.
-func (v *View) missedTime(at ClockReading) time.Duration {
-	return at.Wall.Round(0).Sub(v.leasedAt.Wall.Round(0)) - (at.Now - v.leasedAt.Now)
-}
-
-// isCurrent reports whether the lease is valid, as far as both clocks show.
-func (v *View) isCurrent(at ClockReading) bool {
-	return at.Now+max(0, v.missedTime(at)) < v.LeasedUntil
-}
-
 // RegistryTime returns an upper bound of the leader's registry time at a time of the monotonic clock; zero before the first lease.
 func (v *View) RegistryTime(now time.Duration) time.Time {
 	if !v.registryKnown {
@@ -62,7 +50,8 @@
 type Host struct {
 	node            *Node
 	mesh            *peer.Mesh
-	started         time.Time
+	clock           func() time.Duration
+	started         time.Duration
 	inbox           chan func(ClockReading) (Effects, error)
 	view            atomic.Pointer[View]
 	ids             atomic.Uint64
@@ -106,19 +95,23 @@
 	return func(h *Host) { h.onGrant = onGrant }
 }
 
+// WithClock replaces the monotonic clock, which must continue while the machine is suspended.
+func WithClock(clock func() time.Duration) HostOption { return func(h *Host) { h.clock = clock } }
+
 // WithLog sets the logger.
 func WithLog(logger log.Interface) HostOption { return func(h *Host) { h.log = logger } }
 
 // NewHost returns a host that runs nothing until Run.
 func NewHost(node *Node, options ...HostOption) *Host {
 	h := &Host{
-		node: node, started: time.Now(), inbox: make(chan func(ClockReading) (Effects, error), inboxSize),
+		node: node, clock: bootClock, inbox: make(chan func(ClockReading) (Effects, error), inboxSize),
 		results: map[uint64]chan Result{}, onNotice: func(Notice) {}, onConfiguration: func(*catalogue.Catalogue) {}, onRoster: func(*peer.Roster) {}, onBoard: func(*peer.Board) {}, onGrant: func(*peer.QuotaGrant) {}, log: log.Log,
 		failed: make(chan error, 1), done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(h)
 	}
+	h.started = h.clock()
 	h.view.Store(&View{Boot: node.boot})
 	return h
 }
@@ -176,8 +169,7 @@
 }
 
 func (h *Host) clockReading() ClockReading {
-	now := time.Now()
-	return ClockReading{Now: now.Sub(h.started), Wall: now}
+	return ClockReading{Now: h.Now(), Wall: time.Now()}
 }
 
 func (h *Host) handleEffects(effects Effects) {
@@ -227,12 +219,9 @@
 }
 
 func (h *Host) newView(c *catalogue.Catalogue) *View {
-	registryBase, leasedAt := h.node.RegistryTime(0), h.clockReading()
-	if before := h.view.Load(); before.LeasedUntil == h.node.LeasedUntil() {
-		leasedAt = before.leasedAt
-	}
+	registryBase := h.node.RegistryTime(0)
 	return &View{
-		Catalogue: c, LeasedUntil: h.node.LeasedUntil(), leasedAt: leasedAt, Leader: h.node.Leader(), Boot: h.node.boot, LedgerSequence: h.node.LedgerSequence(),
+		Catalogue: c, LeasedUntil: h.node.LeasedUntil(), Leader: h.node.Leader(), Boot: h.node.boot, LedgerSequence: h.node.LedgerSequence(),
 		ListedAt:     h.node.listedAt,
 		registryBase: registryBase, registryKnown: !registryBase.IsZero(),
 	}
@@ -253,16 +242,13 @@
 // View returns the current snapshot of the control state.
 func (h *Host) View() *View { return h.view.Load() }
 
-// Now returns the monotonic clock of the control state, which starts at 0 with the host.
-func (h *Host) Now() time.Duration { return time.Since(h.started) }
+// Now returns the monotonic clock of the control state, which starts at 0 with the host and continues while the machine is suspended.
+func (h *Host) Now() time.Duration { return h.clock() - h.started }
 
-// Leased reports whether the VM holds a valid lease now.
+// Leased reports whether the VM holds a valid lease now, so that the installed configuration has every change that is in force: the leader
+// declares no other one in force before the lease has ended.
 func (h *Host) Leased() bool { return h.Now() < h.View().LeasedUntil }
 
-// Current reports whether the installed configuration has every change that is in force: the leader declares no other one in force before
-// the lease has ended. Time for which the machine was suspended since its lease was granted counts.
-func (h *Host) Current() bool { return h.View().isCurrent(h.clockReading()) }
-
 // Boot returns the VM's boot number.
 func (h *Host) Boot() uint64 { return h.View().Boot }
 
--- a/relay/control/node.go
+++ b/relay/control/node.go
@@ -20,7 +20,7 @@
 
 // ClockReading is one reading of a VM's clocks.
 type ClockReading struct {
-	// Now is the monotonic clock, which continues while the process is frozen.
+	// Now is the monotonic clock, which continues while the process is frozen or the machine is suspended.
 	Now  time.Duration
 	Wall time.Time
 }
--- a/relay/control/quota.go
+++ b/relay/control/quota.go
@@ -7,8 +7,8 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/quota"
 )
 
-// clockJump is the difference between the advances of the wall clock and the monotonic clock from which on the machine may have been
-// suspended. Clocks that are adjusted slowly differ by far less between two ticks.
+// clockJump is the difference between the advances of the wall clock and the monotonic clock from which on one of them has jumped, as
+// where the monotonic clock misses the time for which the machine was suspended. Clocks that are adjusted slowly differ by far less between two ticks.
 const clockJump = 100 * time.Millisecond
 
 // rates is a control VM's part in the account rates.
--- a/relay/quota/holding.go
+++ b/relay/quota/holding.go
@@ -7,7 +7,7 @@
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 )
 
-// Clock is one reading of a VM's clocks. The monotonic one stands still while the machine is suspended, the wall clock may be set.
+// Clock is one reading of a VM's clocks. The monotonic one may stand still while the machine is suspended, the wall clock may be set.
 type Clock struct {
 	Now  time.Duration
 	Wall time.Time
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -132,7 +132,7 @@
 		st.setList(directory.Decode(b), st.now(), "leader")
 	}), control.WithGrantHandler(func(g *peer.QuotaGrant) { mesh.onGrant(s.Name, g) }))
 	st.registryTime = func() time.Time { return host.View().RegistryTime(host.Now()) }
-	st.current = host.Current
+	st.current = host.Leased
 	return host
 }
 
