Add a property on walls to the simulation of control VMs

Changes of the isolated accounts, requests that wait at frozen VMs, cuts, restarts, new leaders and clocks whose rates differ by up to 2% are drawn. No part made by one account may be used by another, one of them isolated, by a request that was sent after the confirmation.

--- a/relay/control/simulation_test.go
+++ b/relay/control/simulation_test.go
@@ -71,6 +71,8 @@
 	calls      *callers
 	// namer is nil in runs without weights.
 	namer *namer
+	// walls is nil in runs without isolated accounts.
+	walls *walls
 	// retries returns the retries that a VM tells its leader; nil if no VM does.
 	retries func(name string) int
 }
@@ -195,6 +197,7 @@
 		}
 		s.operators.tick()
 		s.namer.tick()
+		s.walls.tick()
 		s.calls.sendRequest()
 	}
 }
@@ -237,6 +240,10 @@
 	Expect(v.node.Version()).To(BeNumerically(">=", v.installedVersion), "%s reverted from version %d", v.name, v.installedVersion)
 	v.installedVersion = v.node.Version()
 	for _, result := range effects.Results {
+		if result.ID >= firstWallID {
+			s.walls.handleResult(result)
+			continue
+		}
 		if result.ID >= firstNamingID {
 			s.namer.handleResult(result)
 			continue
