Keep what engines show by their incarnation and its time

Cause: the rollout kept what an engine had shown by its ID, and took the highest of that and of what the platform's list said. So neither a restart nor a list that was newer could lower it, and an engine in rotation is not polled. The leader also published the old knowledge under the new start, which overrode the list at the entry VMs. A new leader, which knows only the list, brings all engines to the wanted weights: the list was enough.

Change: all that rollout knows of an engine is about one start of it; a later one, told by the list or a report, or a lower count of orders, drops it, and what an earlier one reports is ignored. Each observation has its time. It outweighs the list until that is newer, whatever its lag; a newer list that shows older weights leads to a poll of the engine, which decides, so that a late list takes none out of rotation. After an order without an answer an engine is also polled while the list is too old to tell. A result belongs to the order with its number, and "already served" to the version ordered, not to one named since. Observations from under an earlier fencing number are dropped. The leader publishes neither what was shown before a start nor what the list has overtaken, and compares with the list as it was read, without the reports merged into it.

--- a/relay/rollout/core.go
+++ b/relay/rollout/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -19,14 +18,26 @@
 	ordered
 )
 
+// observation is the weights version of a model that an engine itself has shown, and the earliest time at which it can have done so.
+type observation struct {
+	weights uint64
+	at      time.Duration
+}
+
 // engine is the rollout state of one engine, which executes one order at a time whatever its models are.
 type engine struct {
 	Engine
-	stage stage
-	// served are the weights versions that the engine's last report and answers show, by model.
-	served map[string]uint64
-	// loading is the model of the last order.
-	loading string
+	// startedAt is the newest start of the engine that is known, zero if none is. All fields below but lateOrderUntil are about that
+	// incarnation.
+	startedAt time.Time
+	stage     stage
+	// observed is what the engine's last report and answers show, by model.
+	observed map[string]observation
+	// order is the number of the order that no result has come for, or 0; loading and loadingWeights are the model and the version of the
+	// last order.
+	order          uint64
+	loading        string
+	loadingWeights uint64
 	// stageSince is the time at which the stage began.
 	stageSince time.Duration
 	lastReport Report
@@ -34,8 +45,8 @@
 	polledAt   time.Duration
 	// backoffUntil is the end of the backoff after an order without effect or a missing report.
 	backoffUntil time.Duration
-	// unanswered is set if the last order got no answer.
-	unanswered bool
+	// lateOrderUntil is the time until which an order without an answer may still be executed, also by a later incarnation.
+	lateOrderUntil time.Duration
 }
 
 const (
@@ -55,6 +66,14 @@
 	retriesLag = time.Second
 	// orderBackoff is the pause after an order that was refused or had no effect.
 	orderBackoff = 250 * time.Millisecond
+	// listLag is the time by which the directory may lag behind what the engines report. A longer lag costs further polls only.
+	listLag = 2 * time.Second
+	// verifyInterval is the time between two polls of a serving engine whose weights are in doubt.
+	verifyInterval = time.Second
+	// lateOrderTime is the time for which an order without an answer may still be executed.
+	lateOrderTime = 15 * time.Second
+	// maxListAge is the age from which the directory does not show in time that an engine has executed a late order.
+	maxListAge = 3 * time.Second
 )
 
 // interruption counts the requests that an order interrupts.
@@ -67,8 +86,14 @@
 type Core struct {
 	loadShare float64
 	lease     Lease
+	now       time.Duration
+	listedAt  time.Duration
 	engines   []*engine
 	byID      map[string]*engine
+	// orderCount is the number of the last order.
+	orderCount uint64
+	// observedUnder is the fencing number under which the engines were observed.
+	observedUnder uint64
 	// retries is the number of requests that the VMs may repeat; interrupted are the requests that recent orders interrupt, which it may
 	// not include yet.
 	retries     Retries
@@ -95,6 +120,7 @@
 // Step handles a message and returns the effects that the host must carry out.
 func (c *Core) Step(now time.Duration, message Message) Effects {
 	var effects Effects
+	c.now = now
 	message.apply(c, now, &effects)
 	return effects
 }
@@ -105,25 +131,54 @@
 	return e != nil && e.stage != serving
 }
 
+// StartedAt returns the newest start of an engine that the directory or its reports have shown, zero if none is known.
+func (c *Core) StartedAt(id string) time.Time {
+	if e := c.byID[id]; e != nil {
+		return e.startedAt
+	}
+	return time.Time{}
+}
+
 // ReportedWeights returns the weights version of a model from the last report of an engine or its answer to an order, or 0 if there is
-// neither.
+// neither or the directory is newer.
 func (c *Core) ReportedWeights(id, model string) uint64 {
-	if e := c.byID[id]; e != nil {
-		return e.served[model]
+	if e := c.byID[id]; e != nil && !c.isNewer(e.observed[model]) {
+		return e.observed[model].weights
 	}
 	return 0
 }
 
-// InProgress reports whether any engine drains, loads or serves an older weights version than wanted.
+// isNewer reports whether what the directory says is newer than an observation, whatever its lag.
+func (c *Core) isNewer(o observation) bool { return c.listedAt >= o.at+listLag }
+
+// InProgress reports whether any engine drains, loads, serves an older weights version than wanted, or must be polled for its version.
 func (c *Core) InProgress() bool {
 	for _, e := range c.engines {
-		if e.stage != serving || e.due() != nil {
+		if e.stage != serving || e.due() != nil || c.inDoubt(e) {
 			return true
 		}
 	}
 	return false
 }
 
+// inDoubt reports whether a serving engine may have changed to older weights than it has shown, as by an order that it executed late: a
+// newer directory says so, or the directory is too old to tell. Only the engine itself can say, since a directory may lag.
+func (c *Core) inDoubt(e *engine) bool {
+	if e.stage != serving || e.Leaving {
+		return false
+	}
+	if c.now < e.lateOrderUntil && c.now >= c.listedAt+maxListAge {
+		return true
+	}
+	if e.StartedAt.Before(e.startedAt) {
+		return false
+	}
+	return slices.ContainsFunc(e.Models, func(m Model) bool {
+		o, known := e.observed[m.Name]
+		return known && m.Weights < m.WantedWeights && o.weights >= m.WantedWeights && c.isNewer(o)
+	})
+}
+
 // due returns the model of which the engine is to load newer weights next, an overdue one first, or nil.
 func (e *engine) due() *Model {
 	var next *Model
@@ -136,8 +191,40 @@
 	return next
 }
 
-// version returns the version of a model that the engine serves, as far as the directory or the engine itself shows.
-func (e *engine) version(m *Model) uint64 { return max(m.Weights, e.served[m.Name]) }
+// version returns the version of a model that the engine serves, as far as the engine itself shows, or else the directory.
+func (e *engine) version(m *Model) uint64 {
+	if o, known := e.observed[m.Name]; known {
+		return o.weights
+	}
+	return m.Weights
+}
+
+// observe records what the engine shows unless something newer is known.
+func (e *engine) observe(model string, o observation) {
+	if known, ok := e.observed[model]; !ok || o.at >= known.at {
+		e.observed[model] = o
+	}
+}
+
+// restart forgets what was known of the earlier incarnation of an engine.
+func (e *engine) restart(now time.Duration, startedAt time.Time, effects *Effects) {
+	effects.Changed = true
+	*e = engine{Engine: e.Engine, startedAt: startedAt, observed: map[string]observation{}, stageSince: now, lateOrderUntil: e.lateOrderUntil}
+}
+
+// sees takes in the start of an engine that the directory or a report shows, and reports whether it is that of the newest incarnation.
+func (e *engine) sees(now time.Duration, startedAt time.Time, effects *Effects) bool {
+	switch {
+	case startedAt.IsZero():
+	case e.startedAt.IsZero():
+		e.startedAt = startedAt
+	case startedAt.After(e.startedAt):
+		e.restart(now, startedAt, effects)
+	case startedAt.Before(e.startedAt):
+		return false
+	}
+	return true
+}
 
 // model returns a model of the engine, or nil.
 func (e *engine) model(name string) *Model {
@@ -151,23 +238,23 @@
 
 // hasLoaded reports whether the last order has had its effect, or none is wanted any more.
 func (e *engine) hasLoaded() bool {
-	m := e.model(e.loading)
-	return m == nil || e.version(m) >= m.WantedWeights
+	return e.model(e.loading) == nil || e.observed[e.loading].weights >= e.loadingWeights
 }
 
-func (m Engines) apply(c *Core, _ time.Duration, _ *Effects) {
+func (m Engines) apply(c *Core, now time.Duration, effects *Effects) {
 	kept := make([]*engine, 0, len(m.List))
 	byID := make(map[string]*engine, len(m.List))
 	for _, info := range m.List {
 		e := c.byID[info.ID]
 		if e == nil {
-			e = &engine{served: map[string]uint64{}}
+			e = &engine{observed: map[string]observation{}}
 		}
 		e.Engine = info
+		e.sees(now, info.StartedAt, effects)
 		kept = append(kept, e)
 		byID[info.ID] = e
 	}
-	c.engines, c.byID = kept, byID
+	c.engines, c.byID, c.listedAt = kept, byID, m.ListedAt
 }
 
 func (m Lease) apply(c *Core, now time.Duration, effects *Effects) {
@@ -177,6 +264,13 @@
 			e.setStage(now, serving, effects)
 		}
 	}
+	if m.FencingNumber > c.observedUnder {
+		// Another VM may have given orders since the observations were made.
+		c.observedUnder = m.FencingNumber
+		for _, e := range c.engines {
+			clear(e.observed)
+		}
+	}
 	c.lease = m
 }
 
@@ -203,17 +297,24 @@
 
 func (m Report) apply(c *Core, now time.Duration, effects *Effects) {
 	e := c.byID[m.ID]
-	if e == nil || e.reported && m.MadeAt < e.lastReport.MadeAt {
+	if e == nil || !e.sees(now, m.StartedAt, effects) || e.reported && m.MadeAt < e.lastReport.MadeAt {
 		return
 	}
+	if e.reported && m.Sequence < e.lastReport.Sequence {
+		// The count of orders starts anew with each start of the engine, which may not tell when it started.
+		e.restart(now, e.startedAt, effects)
+	}
 	e.lastReport, e.reported = m, true
-	maps.Copy(e.served, m.Weights)
+	// A serving engine is polled if its weights are in doubt, so that the report may differ from what was published.
+	effects.Changed = effects.Changed || e.stage == serving
+	for model, weights := range m.Weights {
+		e.observe(model, observation{weights, m.MadeAt})
+	}
 	switch {
 	case m.Executing:
 		if e.stage != ordered {
 			e.setStage(now, ordered, effects)
 		}
-		e.unanswered = false
 	case e.stage == ordered && m.MadeAt >= e.stageSince && (e.hasLoaded() || m.MadeAt >= e.stageSince+orderEffectTimeout):
 		e.setStage(now, serving, effects)
 		if !e.hasLoaded() {
@@ -224,17 +325,20 @@
 
 func (m OrderResult) apply(c *Core, now time.Duration, effects *Effects) {
 	e := c.byID[m.ID]
-	if e == nil || e.stage != ordered {
+	if e == nil {
 		return
 	}
+	if m.Result == Unknown {
+		e.lateOrderUntil = now + lateOrderTime
+	}
+	if e.stage != ordered || m.Number != e.order {
+		return
+	}
+	e.order = 0
 	switch m.Result {
-	case Unknown:
-		e.unanswered = true
-	case Accepted:
+	case Unknown, Accepted:
 	case AlreadyServed:
-		if loaded := e.model(e.loading); loaded != nil {
-			e.served[loaded.Name] = max(e.served[loaded.Name], loaded.WantedWeights)
-		}
+		e.observe(e.loading, observation{e.loadingWeights, e.stageSince})
 		e.setStage(now, serving, effects)
 	default:
 		if m.Result == Fenced {
@@ -249,7 +353,7 @@
 	if e.stage == to {
 		return
 	}
-	e.stage, e.stageSince, e.unanswered = to, now, false
+	e.stage, e.stageSince = to, now
 	effects.Changed = true
 }
 
@@ -288,7 +392,7 @@
 		}
 	}
 	for _, e := range c.engines {
-		if e.stage != serving && now >= e.polledAt+pollInterval {
+		if e.stage != serving && now >= e.polledAt+pollInterval || c.inDoubt(e) && now >= e.polledAt+verifyInterval {
 			e.polledAt = now
 			effects.Poll = append(effects.Poll, e.ID)
 		}
@@ -299,12 +403,13 @@
 func (c *Core) order(now time.Duration, e *engine, effects *Effects) {
 	e.setStage(now, ordered, effects)
 	due := e.due()
-	e.loading = due.Name
+	c.orderCount++
+	e.order, e.loading, e.loadingWeights = c.orderCount, due.Name, due.WantedWeights
 	retain := !c.mayInterruptAll(now, e.lastReport)
 	if !retain {
 		c.interrupted = append(c.interrupted, interruption{now, e.lastReport.repeatable()})
 	}
-	effects.Orders = append(effects.Orders, Order{ID: e.ID, Model: due.Name, Weights: due.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence, Retain: retain})
+	effects.Orders = append(effects.Orders, Order{ID: e.ID, Number: e.order, Model: due.Name, Weights: due.WantedWeights, FencingNumber: c.lease.FencingNumber, Sequence: e.lastReport.Sequence, Retain: retain})
 }
 
 // oldestFirst returns the engines sorted by how far their weights are behind. Otherwise the engines loaded last could starve the
--- a/relay/rollout/core_test.go
+++ b/relay/rollout/core_test.go
@@ -98,11 +98,11 @@
 func (s *simulation) order(o rollout.Order) {
 	f := s.engines[o.ID]
 	if f.crashed {
-		s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Result: rollout.Unknown})
+		s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Number: o.Number, Result: rollout.Unknown})
 		return
 	}
 	if o.Sequence != f.sequence || f.loadingWeights > 0 {
-		s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Result: rollout.Refused})
+		s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Number: o.Number, Result: rollout.Refused})
 		return
 	}
 	f.sequence++
@@ -122,7 +122,7 @@
 	if s.answersLost {
 		result = rollout.Unknown
 	}
-	s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Result: result})
+	s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Number: o.Number, Result: result})
 }
 
 func (s *simulation) report(id string) {
--- a/relay/rollout/message.go
+++ b/relay/rollout/message.go
@@ -18,14 +18,20 @@
 
 // Engine is an engine of the directory with those of its models that have a wanted version.
 type Engine struct {
-	ID     string
-	Models []Model
+	ID string
+	// StartedAt is the start of the engine's listed incarnation, zero if unknown.
+	StartedAt time.Time
+	Models    []Model
 	// Leaving engines get no new weights.
 	Leaving bool
 }
 
 // Engines replaces the set of engines.
-type Engines struct{ List []Engine }
+type Engines struct {
+	List []Engine
+	// ListedAt is when the directory was read; what it says of an engine may be older by its lag.
+	ListedAt time.Duration
+}
 
 // Lease is the state of this VM's order lease.
 type Lease struct {
@@ -44,6 +50,8 @@
 // Report is an engine's report of its weights, orders and requests in progress.
 type Report struct {
 	ID string
+	// StartedAt is the start of the engine's incarnation that made the report, zero if unknown.
+	StartedAt time.Time
 	// MadeAt is the earliest time at which the engine can have made the report.
 	MadeAt time.Duration
 	// Weights are the versions that the engine serves, by model.
@@ -74,9 +82,10 @@
 	Fenced
 )
 
-// OrderResult reports the result of an order.
+// OrderResult reports the result of the order with a number.
 type OrderResult struct {
 	ID     string
+	Number uint64
 	Result Result
 }
 
@@ -85,7 +94,9 @@
 
 // Order is an order to an engine to load weights.
 type Order struct {
-	ID            string
+	ID string
+	// Number tells the orders of a Core apart.
+	Number        uint64
 	Model         string
 	Weights       uint64
 	FencingNumber uint64
--- a/relay/rollout/models_test.go
+++ b/relay/rollout/models_test.go
@@ -68,7 +68,7 @@
 		s.core.Step(s.now, s.list())
 		effects := s.core.Step(s.now, rollout.Tick{})
 		for _, o := range effects.Orders {
-			s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Result: s.accept(o)})
+			s.core.Step(s.now, rollout.OrderResult{ID: o.ID, Number: o.Number, Result: s.accept(o)})
 		}
 		unavailable := 0
 		for i, e := range s.engines {
--- a/relay/vm/adapter.go
+++ b/relay/vm/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/connection"
 	"github.com/chicoryrelay/chicoryrelay/relay/directory"
@@ -41,8 +42,8 @@
 	Executing bool
 	// Sequence is the number of orders that this incarnation of the engine has accepted.
 	Sequence uint64
-	// StartedAt is the start of this incarnation as the engine reports it.
-	StartedAt int64
+	// StartedAt is the start of this incarnation as the engine reports it, zero if it does not.
+	StartedAt time.Time
 	// Priorities lists the priorities of the requests in progress.
 	Priorities []int
 }
--- a/relay/vm/orders.go
+++ b/relay/vm/orders.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -166,14 +167,25 @@
 	return inProgress || o.boards.changed
 }
 
-// engines returns the engines with their target weights versions, for models that have one.
+// engines returns the engines with their target weights versions, for models that have one. Their weights are those of the platform's list
+// if this VM has just read it: in the merged one, earlier reports may hide what the list shows.
 func (o *orderSender) engines(list *directory.List, s orderState) rollout.Engines {
-	var engines rollout.Engines
+	engines, read := rollout.Engines{ListedAt: o.host.View().ListedAt}, o.state.reading.Load()
+	if read != nil && o.host.Now()-read.at >= maxListAge {
+		read = nil
+	}
+	if read != nil {
+		engines.ListedAt = read.at
+	}
 	clear(o.addresses)
 	for i := range list.Upstreams {
 		u := &list.Upstreams[i]
-		engine := rollout.Engine{ID: u.ID, Leaving: u.Leaving}
-		for _, m := range u.Models {
+		listed := u
+		if read != nil {
+			listed = cmp.Or(read.list.Find(u.ID), u)
+		}
+		engine := rollout.Engine{ID: u.ID, StartedAt: listed.StartedAt, Leaving: u.Leaving}
+		for _, m := range listed.Models {
 			if wanted, ok := s.weights[m.Name]; ok {
 				engine.Models = append(engine.Models, rollout.Model{Name: m.Name, Weights: m.Weights, WantedWeights: wanted.Version, Overdue: o.overdue(m.Weights, wanted, s.registryTime)})
 			}
@@ -219,7 +231,12 @@
 	}
 	for i := range list.Upstreams {
 		u := &list.Upstreams[i]
-		report := directory.Report{ID: u.ID, Loading: o.core.OutOfRotation(u.ID), StartedAt: u.StartedAt}
+		startedAt := o.core.StartedAt(u.ID)
+		if u.StartedAt.After(startedAt) {
+			// The core knows only an earlier incarnation until its next step.
+			continue
+		}
+		report := directory.Report{ID: u.ID, Loading: o.core.OutOfRotation(u.ID), StartedAt: startedAt}
 		report.Models = o.reportedModels(u)
 		if report.Loading || report.Models != nil || u.Loading {
 			o.state.applyReport(report)
@@ -262,7 +279,7 @@
 		weights[m.Name] = m.Weights
 	}
 	o.deliver(ctx, rollout.Report{
-		ID: id, MadeAt: polledAt - maxReportAge, Weights: weights, Executing: report.Executing, Sequence: report.Sequence, ActiveRequests: len(report.Priorities), NonRepeatableRequests: nonRepeatableRequests(report.Priorities),
+		ID: id, StartedAt: report.StartedAt, MadeAt: polledAt - maxReportAge, Weights: weights, Executing: report.Executing, Sequence: report.Sequence, ActiveRequests: len(report.Priorities), NonRepeatableRequests: nonRepeatableRequests(report.Priorities),
 	})
 }
 
@@ -292,7 +309,7 @@
 	s := o.readOrderState()
 	if s.lease.FencingNumber != order.FencingNumber || o.host.Now() >= s.validUntil {
 		entry.Info("order not sent")
-		o.deliver(ctx, rollout.OrderResult{ID: order.ID, Result: rollout.Refused})
+		o.deliver(ctx, rollout.OrderResult{ID: order.ID, Number: order.Number, Result: rollout.Refused})
 		return
 	}
 	status, _, err := call(ctx, o.pool, address, o.adapter.Engines.OrderRequest(EngineOrder{
@@ -305,5 +322,5 @@
 		result = o.adapter.Engines.DecodeResult(status)
 		entry.WithField("status", status).Info("order answered")
 	}
-	o.deliver(ctx, rollout.OrderResult{ID: order.ID, Result: result})
+	o.deliver(ctx, rollout.OrderResult{ID: order.ID, Number: order.Number, Result: result})
 }
--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -133,7 +133,10 @@
 // observe enters the present list into the history; the caller holds the lock.
 func (o *origins) observe() {
 	// The time is read first: a list may be newer than it, not older.
-	readAt := max(o.host.View().ListedAt, time.Duration(o.state.readAt.Load()))
+	readAt := o.host.View().ListedAt
+	if read := o.state.reading.Load(); read != nil {
+		readAt = max(readAt, read.at)
+	}
 	list := o.state.list.Load()
 	if list == nil || readAt == 0 {
 		return
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,8 @@
 	started time.Time
 	table   atomic.Pointer[route.Table]
 	list    atomic.Pointer[directory.List]
+	// reading is this VM's own last reading of the platform's list; nil if it has made none.
+	reading atomic.Pointer[reading]
 	weights atomic.Pointer[map[string]catalogue.Weights]
 	vms     atomic.Pointer[peer.Roster]
 	// limits are the limits of the accounts of the table; nil if no account has one.
@@ -32,8 +36,6 @@
 	directory *directory.Directory
 	// listedAt is when the newest list in the directory was read, on the clock of the control state.
 	listedAt time.Duration
-	// readAt is when this VM itself last read the whole list, in nanoseconds of the clock of the control state; 0 if it has not.
-	readAt atomic.Int64
 	// registryTime returns the time of the replicated log, zero until a control VM has told it. It is set while the components are built.
 	registryTime func() time.Time
 	// isNewSystem is set on a control VM that starts the system for the first time, while the components are built.
@@ -45,6 +47,18 @@
 	onChange func()
 }
 
+// reading is the platform's list as this VM itself has read it, and when the reading began on the clock of the control state.
+type reading struct {
+	list *directory.List
+	at   time.Duration
+}
+
+// newReading orders the upstreams by ID.
+func newReading(upstreams []directory.Upstream, at time.Duration) *reading {
+	ordered := slices.SortedFunc(slices.Values(upstreams), func(a, b directory.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return &reading{list: directory.NewList(ordered), at: at}
+}
+
 func newState(adapter Adapter, logger log.Interface) *state {
 	return &state{adapter: adapter, log: logger, started: time.Now(), directory: directory.New(), registryTime: func() time.Time { return time.Time{} }, current: func() bool { return false }, onChange: func() {}}
 }
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -124,8 +124,8 @@
 		w.log.WithField("upstreams", len(upstreams)).Info("platform list read again")
 		w.failing = false
 	}
+	w.state.reading.Store(newReading(upstreams, startedAt))
 	w.state.setList(upstreams, startedAt, "list")
-	w.state.readAt.Store(int64(startedAt))
 	if leader {
 		w.host.PublishBoard(directory.Encode(w.state.list.Load().Upstreams), startedAt)
 	}
