Ignore the late report of an earlier incarnation of an upstream

An upstream had one report, the one that came last, whatever incarnation it was of. A late one of the earlier incarnation, such as an attempt that failed before the restart, took the place of the newer one's, and was then itself not applied, so that the list's older knowledge came back.

Change: a report of an earlier start than the list or the kept report names is not taken.

Evidence: the spec with a late report failed before and passes.

--- a/relay/directory/directory.go
+++ b/relay/directory/directory.go
@@ -80,8 +80,12 @@
 	}
 }
 
-// AddReport adds a report that was received at now, a time of the caller's clock.
+// AddReport adds a report that was received at now, a time of the caller's clock. A report of an earlier incarnation than is known is
+// ignored: it may be late, and would take the place of that of the newer one.
 func (d *Directory) AddReport(now time.Duration, r Report) {
+	if !r.StartedAt.IsZero() && (r.StartedAt.Before(d.reports[r.ID].StartedAt) || r.StartedAt.Before(d.listed[r.ID].StartedAt)) {
+		return
+	}
 	d.reports[r.ID] = receivedReport{r, now}
 }
 
--- a/relay/directory/directory_test.go
+++ b/relay/directory/directory_test.go
@@ -54,6 +54,17 @@
 		Expect(upstream.Serves()).To(BeTrue())
 	})
 
+	// Guards against the late report of an earlier incarnation that takes the place of a newer one's.
+	It("keeps the report of a newer incarnation", func() {
+		d := directory.New()
+		d.SetList([]directory.Upstream{engine("e", 1)})
+		d.AddReport(0, directory.Report{ID: "e", Models: []directory.Model{{Name: "m", Weights: 3}}, StartedAt: incarnationStart.Add(time.Minute)})
+		d.AddReport(0, directory.Report{ID: "e", Models: []directory.Model{{Name: "m", Weights: 2}}, Loading: true, StartedAt: incarnationStart})
+		upstream := singleUpstream(d, 0)
+		Expect(upstream.Weights("m")).To(BeEquivalentTo(3))
+		Expect(upstream.Serves()).To(BeTrue())
+	})
+
 	It("marks an upstream that has left its address as not serving", func() {
 		d := directory.New()
 		d.SetList([]directory.Upstream{engine("e", 1)})
