Keep newer knowledge of an engine's weights over a long answer's

Cause: the weights that an answer shows are compared with those on record when its request was placed, at the end of the answer. A stream that began on other weights than were on record then, and ended many seconds later, set the record back to its first weights for 3 s, though a report or the list had shown newer ones since, or another start of the engine.

Change: the answer counts only if the record is still that of the placement.

--- a/relay/vm/place.go
+++ b/relay/vm/place.go
@@ -346,9 +346,14 @@
 	return hex.EncodeToString(sum[:8])
 }
 
-// correctWeights updates the directory if a response shows another weights version than the one on record.
+// correctWeights updates the directory if a response shows another weights version than the one on record when the request was placed. The
+// response may have begun long ago, so that whatever has been learned of the upstream since the placement counts instead.
 func (p *placer) correctWeights(u *directory.Upstream, r *forward.PlacementRequest, h forward.AnswerMetadata) {
-	if h.Weights > 0 && h.Weights != u.Weights(r.Metadata.Model) {
+	model := r.Metadata.Model
+	if h.Weights == 0 || h.Weights == u.Weights(model) {
+		return
+	}
+	if now := p.state.list.Load().Find(u.ID); now != nil && now.StartedAt.Equal(u.StartedAt) && now.Weights(model) == u.Weights(model) {
 		p.state.applyReport(directory.Report{ID: u.ID, Models: u.WithWeights(r.Metadata.Model, h.Weights), Loading: u.Loading, StartedAt: u.StartedAt})
 	}
 }
