See the end of a head that began with the chunks before

Callers saw: no wrong answers; a connection kept the charge for an unknown head, 281,192 bytes, until its next request or its end, so that the memory for callers could run short.

Cause: bytes beyond a body in chunks are passed on without being scanned, and the scanner began anew at the end of that request. If only the last 1 to 4 bytes of the next head were left, they looked like empty lines before a head. The end was not seen, and the tail that the end of the next request is judged by was still that of the request before.

Change: if a head may have begun, the scanner resumes after the tail. The tail begins anew after each head, so that it holds no earlier bytes. No other parser resumes in the middle of a text: the byte that net/http reads after a request without a body is scanned from the start of a head, and answers, events and peers' frames are read from one buffer each.

--- a/relay/callers/conn.go
+++ b/relay/callers/conn.go
@@ -195,7 +195,7 @@
 	began = !c.scanner.started && c.scanner.length == 0
 	size, lines, ended := c.scanner.scan(text)
 	if ended {
-		c.phase, c.extra = afterHead, 0
+		c.phase, c.extra, c.tail = afterHead, 0, [4]byte{}
 	}
 	return size, linesCost(size, lines), began
 }
@@ -274,6 +274,9 @@
 	if c.phase != inHead {
 		c.phase, c.scanner = inHead, headScanner{}
 	}
+	if unknown {
+		c.scanner = resumedScanner(c.tail[:])
+	}
 	stage := Idle
 	if c.scanner.started || c.scanner.length > 0 {
 		stage = Head
--- a/relay/callers/guard_test.go
+++ b/relay/callers/guard_test.go
@@ -107,6 +107,23 @@
 		Entry("with a body that ends like a head", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n\r\n\r\n\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", "8", "0"),
 	)
 
+	// Guards against the end of a head that is not seen because only a part of it is left to read when the request before has ended: its
+	// charge stayed until the next request.
+	It("charges nothing after a head of which any part has come with the chunks before", func() {
+		const chunks, head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n123\r\n0\r\n\r\n", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		for cut := 1; cut < len(head); cut++ {
+			guard, address := serve(echo)
+			conn, reader := dial(address)
+			_, _ = io.WriteString(conn, chunks+head[:cut])
+			expectAnswer(reader, http.StatusOK, "3")
+			Eventually(func() int64 { return guard.Counters().Memory["answers"] }).Should(BeZero())
+			_, _ = io.WriteString(conn, head[cut:])
+			expectAnswer(reader, http.StatusOK, "0")
+			Eventually(func() int64 { return guard.Counters().Memory["heads"] }).Should(BeZero(), "cut after %d bytes of %d", cut, len(head))
+			_ = conn.Close()
+		}
+	})
+
 	It("counts a head that follows chunks in one write", func() {
 		guard, address := serve(echo)
 		conn, reader := dial(address)
--- a/relay/callers/scan.go
+++ b/relay/callers/scan.go
@@ -24,6 +24,12 @@
 	bare   bool
 }
 
+// resumedScanner returns the scanner of a head that has begun, after its last bytes so far.
+func resumedScanner(tail []byte) headScanner {
+	line := tail[bytes.LastIndexByte(tail, '\n')+1:]
+	return headScanner{started: true, length: len(line), bare: string(line) == "\r"}
+}
+
 // scan returns the number of bytes of a text that belong to the head, its lines among them, and whether the head ends there.
 func (s *headScanner) scan(text []byte) (size, lines int, ended bool) {
 	for size < len(text) {
