Withhold statuses of services that promise a booking has not run

Callers saw: a service ran a booking and then failed it with a 503 of its own. The design promises that 408, 421, 429 and 503 mean "not run".

Cause: the daemon recorded and passed on the status of the service, as the forwarder did before.

Change: such an answer ends the exchange as one that may have run, with 502, whatever its body says; the ledger keeps no answer, so that the key gets 409 with that outcome. An answer that an earlier release recorded is withheld as well. The stand-in service can fail what it has run.

--- a/relay/booking/core.go
+++ b/relay/booking/core.go
@@ -191,7 +191,10 @@
 		if !c.firstByteSent {
 			return c.release(now, outcome.Refuse(outcome.UpstreamFailed, "the connection broke before the first byte: send the call again with the same key").WithCause(event.Err))
 		}
-		refusal := outcome.RefuseUncertain(outcome.UpstreamFailed, "the upstream broke off: ask it whether the call ran before you send it with a new key").WithCause(event.Err)
+		var refusal *outcome.Refusal
+		if !errors.As(event.Err, &refusal) {
+			refusal = outcome.RefuseUncertain(outcome.UpstreamFailed, "the upstream broke off: ask it whether the call ran before you send it with a new key").WithCause(event.Err)
+		}
 		return append([]Effect{c.answerCaller(Effect{Refusal: refusal})}, c.complete(now, true, nil)...)
 	}
 	return nil
--- a/relay/booking/event.go
+++ b/relay/booking/event.go
@@ -26,7 +26,8 @@
 	FirstByteSent
 	// UpstreamAnswered carries the upstream's complete answer.
 	UpstreamAnswered
-	// ExchangeFailed means that the connection broke, stalled or exceeded its time limit before the complete answer arrived.
+	// ExchangeFailed means that the connection broke, stalled or exceeded its time limit before the complete answer arrived, or that the
+	// answer does not tell whether the call ran.
 	ExchangeFailed
 	// ClaimTimedOut means that no grant arrived within the timeout of the claim.
 	ClaimTimedOut
@@ -55,7 +56,7 @@
 	Reply ledger.Reply
 	// Answer is set for UpstreamAnswered.
 	Answer []byte
-	// Err is the cause of DialFailed and ExchangeFailed, for the log.
+	// Err is the cause of DialFailed and ExchangeFailed, for the log; one that is an *outcome.Refusal is the caller's answer.
 	Err error
 }
 
--- a/relay/gateway/booker.go
+++ b/relay/gateway/booker.go
@@ -176,10 +176,20 @@
 	if err := json.Unmarshal(effect.Answer, &answer); err != nil {
 		return Answer{}, err
 	}
+	if outcome.PromisesNotRun(answer.Status) {
+		// Earlier releases recorded such answers.
+		return Answer{}, failedByService(answer.Status)
+	}
 	answer.Replayed = effect.Replayed
 	return answer, nil
 }
 
+// failedByService returns the refusal of a call that its service answered with a status which promises that it has not run. A service can't
+// declare a call not run, so that it may have.
+func failedByService(status int) *outcome.Refusal {
+	return outcome.RefuseUncertain(outcome.UpstreamFailed, "the service failed the call with status %d: ask it whether the call ran before you send it with a new key", status)
+}
+
 func (e *execution) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -313,6 +323,12 @@
 			e.events <- booking.Event{Kind: booking.ExchangeFailed, Err: err}
 			return
 		}
+		if outcome.PromisesNotRun(answer.Status) {
+			e.booker.log.WithFields(log.Fields{"service": e.call.Service, "key": e.call.Key, "upstream": replica, "status": answer.Status}).Info("answer withheld")
+			answer.Release()
+			e.events <- booking.Event{Kind: booking.ExchangeFailed, Err: failedByService(answer.Status)}
+			return
+		}
 		recorded, err := json.Marshal(Answer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: answer.Body})
 		answer.Release()
 		if err != nil {
--- a/scenarios/booking.sh
+++ b/scenarios/booking.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a booking that runs twice, or is answered as "not run" although it ran, when the VM that dispatches it is killed:
-# first one slow booking step by step, then many keys while random VMs are killed and restarted.
+# first one slow booking step by step, then many keys while random VMs are killed and restarted. Between them, bookings that their
+# service has run and then fails.
 source "$(dirname "$0")/lib.sh"
 SEED=${SEED:-7}
 
@@ -27,6 +28,17 @@
 wait "$caller"
 same "outcome at the killed VM's caller" "lost" "$(cat "$FOLDER/slow")"
 
+# A service that fails what it has run, with statuses that promise the opposite: the first answer and the one to the call sent again.
+for status in 503 429 408 421; do
+  for i in 1 2 3; do set_fault "$(service_address "$i")" "{\"fail\":1,\"status\":$status}"; done
+  for send in 1 2; do
+    answered=$(book "$send" --idempotency "failed-$status" 2>/dev/null) || true
+    [[ $answered != *" status=$status "* && $answered == 'outcome="may have run"'* ]] || fail "a booking that ran and failed with $status was answered $answered"
+  done
+  same "runs of the booking that failed with $status" 1 "$(runs "failed-$status")"
+done
+for i in 1 2 3; do set_fault "$(service_address "$i")" '{}'; done
+
 # customer NUMBER books one key after another until the file "stop" exists. It retries each key at random VMs until the outcome is
 # final. No run may be recorded when a VM answers "not run".
 customer() {
--- a/standin/cmd_service.go
+++ b/standin/cmd_service.go
@@ -34,6 +34,8 @@
 	flags.IntVar(&fault.Late, "late", 0, "number of calls whose response is delayed by --late-by")
 	flags.StringVar(&fault.For, "late-by", "20s", "delay of the responses counted by --late")
 	flags.IntVar(&fault.Refuse, "refuse", 0, "number of calls that are rejected with status 503 without running")
+	flags.IntVar(&fault.Fail, "fail", 0, "number of calls that run and are then answered with --fail-with")
+	flags.IntVar(&fault.Status, "fail-with", 503, "status of the responses counted by --fail")
 	flags.StringVar(&crashOn, "crash-on", "", "text at which the process exits as soon as it begins to run a call whose body contains it")
 	return cmd
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -32,6 +33,9 @@
 	// Refuse responds 503 without running the work, with a Retry-After of RetryAfter, such as 2, if that is not empty.
 	Refuse     int    `json:"refuse"`
 	RetryAfter string `json:"retry_after"`
+	// Fail responds with Status, 503 if it is 0, after the work has run.
+	Fail   int `json:"fail"`
+	Status int `json:"status"`
 	// CrashOn is a text: the process exits as soon as it begins to run a call whose body contains it; an empty text ends this.
 	CrashOn *string `json:"crash_on,omitempty"`
 	// Leave makes the service respond 503 with leaving set, and announce in each answer that it leaves, if true, and accept calls
@@ -140,7 +144,8 @@
 	if key != "" {
 		s.runs[key]++
 	}
-	closeConn, silent, late := consume(&s.fault.Close), consume(&s.fault.Silent), consume(&s.fault.Late)
+	closeConn, silent, late, fails := consume(&s.fault.Close), consume(&s.fault.Silent), consume(&s.fault.Late), consume(&s.fault.Fail)
+	status := cmp.Or(s.fault.Status, http.StatusServiceUnavailable)
 	wait, crashes := s.late, s.crashOn != "" && bytes.Contains(raw, []byte(s.crashOn))
 	s.mutex.Unlock()
 	logger := s.logger.WithFields(log.Fields{"service": s.name, "method": r.Method, "path": r.URL.Path, "key": key, "run": run})
@@ -160,6 +165,10 @@
 	case late:
 		sleep(r, wait)
 	}
+	if fails {
+		answer.Write(w, status, map[string]any{"error": "the service failed after the work had run", "key": key, "run": run})
+		return
+	}
 	answer.Write(w, http.StatusOK, map[string]any{"service": s.name, "method": r.Method, "path": r.URL.Path, "key": key, "run": run, "confirmation": fmt.Sprintf("%s-%06d", s.name, run), "bytes": len(raw)})
 }
 
@@ -199,6 +208,6 @@
 	s.mutex.Lock()
 	s.arm(fault)
 	s.mutex.Unlock()
-	s.logger.WithField("service", s.name).WithFields(log.Fields{"close": fault.Close, "silent": fault.Silent, "late": fault.Late, "refuse": fault.Refuse}).Info("fault armed")
+	s.logger.WithField("service", s.name).WithFields(log.Fields{"close": fault.Close, "silent": fault.Silent, "late": fault.Late, "refuse": fault.Refuse, "fail": fault.Fail}).Info("fault armed")
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -65,6 +65,17 @@
 		expectRuns(url, `{"total":0,"runs":{}}`)
 	})
 
+	It("counts a run that it failed afterwards, with any status", func() {
+		url := start(service.Fault{Fail: 1, Status: http.StatusTooManyRequests})
+		for _, status := range []int{http.StatusTooManyRequests, http.StatusOK} {
+			response, err := postBooking(url, "a")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			Expect(response.StatusCode).To(Equal(status))
+		}
+		expectRuns(url, `{"total":2,"runs":{"a":2}}`)
+	})
+
 	// Guards against a crash under other calls, and against a crash of which the call's run is not counted.
 	It("exits as soon as it begins to run a call with the given text, and under no other call", func() {
 		text, exits := "torn", atomic.Int32{}
