Refuse a booking that may have run with a status that says no more

Callers saw: a VM that had just started and had no lease yet answered a key that was sent again with 503 and the outcome "may have run". 503 promises that the booking has not run.

Cause: the kind of a refusal gave its status, whatever its outcome; no_lease, no_quorum and others become uncertain for a key that is sent again.

Change: a refusal that isn't "not run" has 502 where its kind has 408, 421, 429 or 503. The scenario waits until the started VM books again.

--- a/relay/gateway/promise_test.go
+++ b/relay/gateway/promise_test.go
@@ -43,6 +43,8 @@
 	// raw is the service's answer, runs the number of calls that it has run.
 	raw  string
 	runs int
+	// leaseless is set while the VM holds no lease.
+	leaseless bool
 }
 
 func newDesk() *desk {
@@ -71,7 +73,7 @@
 	book := func(ctx context.Context, call gateway.Booking) (gateway.Answer, error) {
 		b := gateway.NewBooker(
 			gateway.WithSubmit(d.submit), gateway.WithServices(upstream.New(), configuration, 1<<20), gateway.WithTimeouts(time.Second, time.Hour),
-			gateway.WithLease(func() time.Duration { return 0 }, func() ledger.Owner { return ledger.Owner{VM: "vm1", Boot: 1} }, func(time.Duration) bool { return true }),
+			gateway.WithLease(func() time.Duration { return 0 }, func() ledger.Owner { return ledger.Owner{VM: "vm1", Boot: 1} }, func(time.Duration) bool { return !d.leaseless }),
 			gateway.WithRegistry(func(time.Duration) (time.Time, uint64) { return time.Time{}, 0 }),
 			gateway.WithAttemptIDs(func() (id ledger.Attempt) {
 				attempts++
@@ -202,3 +204,15 @@
 	expectRefusal(d.book("k"), http.StatusServiceUnavailable, "", outcome.NotRun)
 	Expect(d.runs).To(BeZero())
 })
+
+// Guards against a key that is sent again and refused with 503 by a VM that can't know whether an earlier attempt has run.
+var _ = It("a key that has run is not answered with a promise that it has not, by a VM without a lease", func() {
+	d := newDesk()
+	d.raw = serviceAnswer(http.StatusCreated, 0, "booked")
+	Expect(d.book("k").StatusCode).To(Equal(http.StatusCreated))
+	d.leaseless = true
+	expectRefusal(d.book("k"), http.StatusBadGateway, "", outcome.MayHaveRun)
+	d.leaseless = false
+	Expect(d.book("k").StatusCode).To(Equal(http.StatusCreated))
+	Expect(d.runs).To(Equal(1))
+})
--- a/relay/outcome/refusal.go
+++ b/relay/outcome/refusal.go
@@ -133,12 +133,16 @@
 // Unwrap returns the cause.
 func (r *Refusal) Unwrap() error { return r.Cause }
 
-// Status returns the HTTP status code of the refusal.
+// Status returns the HTTP status code of the refusal; it promises that the request has not run only if the outcome says so.
 func (r *Refusal) Status() int {
-	if status, ok := statusByKind[r.Kind]; ok {
-		return status
+	status, ok := statusByKind[r.Kind]
+	if !ok {
+		return http.StatusInternalServerError
 	}
-	return http.StatusInternalServerError
+	if r.Outcome != NotRun && PromisesNotRun(status) {
+		return http.StatusBadGateway
+	}
+	return status
 }
 
 type refusalBody struct {
--- a/scenarios/booking.sh
+++ b/scenarios/booking.sh
@@ -23,6 +23,9 @@
 within 20 "the outcome 'may have run'" has_outcome "$other" slow-1 "may have run"
 start "vm$victim"
 within 10 "health of vm$victim" healthy "$victim"
+# Without its lease the VM answers the outcome "may have run" to each key that is sent again.
+books() { [ "$(book_without_key "$1")" = ran ]; }
+within 20 "a booking at the restarted VM" books "$victim"
 within 20 "the outcome 'may have run' at the restarted VM" has_outcome "$victim" slow-1 "may have run"
 same "runs of the slow booking" 1 "$(runs slow-1)"
 wait "$caller"
