Take a stream up without a record only by a list read after the take-up

Callers saw: a data centre is cut off, or a VM stands still, while upstreams of a new software version join.

Cause: a stream without a record goes on at the only version that was listed for as long as streams last, and one control VM's word was enough for up to 5 s after its last list. Any VM with a newer list may have begun the stream.

Change: a take-up without a record waits until this VM's list is known to have been read after the take-up came, 3 s at most. The earliest time of the leader's list follows from the request to which a grant replies; a push confirms nothing. A VM that waits reads the list itself once the leader's is overdue. An answer counts with a list of at most 2 s.

--- a/relay/control/board.go
+++ b/relay/control/board.go
@@ -60,7 +60,8 @@
 // adoptBoard replaces the board kept from an earlier leadership by the one that the leader before last sent to this VM, if it is newer.
 func (n *Node) adoptBoard() {
 	if v := n.voter; n.board != nil && (v.board == nil || n.listedAt > v.listedAt) {
-		v.board, v.listedAt = n.board, n.listedAt
+		// Others are told the age of this board.
+		v.board, v.listedAt = n.board, n.confirmedAt
 	}
 }
 
@@ -134,8 +135,16 @@
 		}
 		n.board = board
 		n.effects.Board = board
+		n.confirmedAt, n.boardChangedAt = 0, n.at.Now
 	}
-	if n.board != nil {
-		n.listedAt = max(n.listedAt, n.at.Now-time.Duration(m.GetAged())*time.Millisecond)
+	if n.board == nil {
+		return
+	}
+	age := time.Duration(m.GetAged()) * time.Millisecond
+	n.listedAt = max(n.listedAt, n.at.Now-age)
+	// A push may have been on its way for any time, and a grant without a board speaks of the one that this VM had when it asked.
+	sent := time.Duration(m.GetSent())
+	if !m.GetPushed() && (m.GetBoard() != nil || sent >= n.boardChangedAt) {
+		n.confirmedAt = max(n.confirmedAt, sent-age)
 	}
 }
--- a/relay/control/board_test.go
+++ b/relay/control/board_test.go
@@ -76,6 +76,22 @@
 		Expect(holder.listedAt).To(Equal(6 * time.Second))
 	})
 
+	// Guards against a board that passes for newer than it is, since a message was on its way for long or spoke of another board.
+	DescribeTable("is confirmed for the time of which the leader has told",
+		func(changedAt time.Duration, grant *peer.LeaseGrant, expected time.Duration) {
+			grant.Aged = 500
+			holder := &Node{board: board, confirmedAt: 6 * time.Second, boardChangedAt: changedAt, at: ClockReading{Now: now}}
+			holder.updateBoard(grant)
+			Expect(holder.confirmedAt).To(Equal(expected))
+		},
+		Entry("by a grant, counted from its request", time.Duration(0), &peer.LeaseGrant{Sent: int64(9 * time.Second)}, 8500*time.Millisecond),
+		Entry("by a grant with another board", time.Duration(0), &peer.LeaseGrant{Sent: int64(9 * time.Second), Board: boardOf(3)}, 8500*time.Millisecond),
+		Entry("by a late grant with an older board", time.Duration(0), &peer.LeaseGrant{Sent: int64(4 * time.Second), Board: boardOf(3)}, 3500*time.Millisecond),
+		Entry("not by a grant that was requested before the board was replaced", 9500*time.Millisecond, &peer.LeaseGrant{Sent: int64(9 * time.Second)}, 6*time.Second),
+		Entry("not by a push", time.Duration(0), &peer.LeaseGrant{Pushed: true, Board: boardOf(3)}, time.Duration(0)),
+		Entry("not by a push of the same board", time.Duration(0), &peer.LeaseGrant{Pushed: true, Board: boardOf(2)}, 6*time.Second),
+	)
+
 	// Guards against a VM that leads again and passes on the board of its earlier leadership in place of a newer one that it has received.
 	DescribeTable("is, at the start of a leadership,",
 		func(received *peer.Board, receivedAt time.Duration, kept *peer.Board, keptAt time.Duration, expected uint64) {
--- a/relay/control/host.go
+++ b/relay/control/host.go
@@ -32,6 +32,8 @@
 	LedgerSequence uint64
 	// ListedAt is the latest time at which the leader can have read the platform's list for its board; zero without a board.
 	ListedAt time.Duration
+	// ConfirmedAt is the earliest such time, zero if it is not known; the board handler has been called with that board.
+	ConfirmedAt time.Duration
 
 	// registryBase is the upper bound of the registry time at monotonic time 0; valid if registryKnown.
 	registryBase  time.Time
@@ -59,7 +61,7 @@
 	onNotice        func(Notice)
 	onConfiguration func(*catalogue.Catalogue)
 	onRoster        func(*peer.Roster)
-	onBoard         func(*peer.Board)
+	onBoard         func(board *peer.Board, listedAt time.Duration)
 	onGrant         func(*peer.QuotaGrant)
 	log             log.Interface
 	failed          chan error
@@ -85,8 +87,9 @@
 	return func(h *Host) { h.onRoster = onRoster }
 }
 
-// WithBoardHandler sets the function that is called when the leader's board of upstreams changes.
-func WithBoardHandler(onBoard func(*peer.Board)) HostOption {
+// WithBoardHandler sets the function that is called when the leader's board of upstreams changes, with the latest time at which the leader
+// can have read the platform's list for it.
+func WithBoardHandler(onBoard func(board *peer.Board, listedAt time.Duration)) HostOption {
 	return func(h *Host) { h.onBoard = onBoard }
 }
 
@@ -105,7 +108,7 @@
 func NewHost(node *Node, options ...HostOption) *Host {
 	h := &Host{
 		node: node, clock: bootClock, inbox: make(chan func(ClockReading) (Effects, error), inboxSize),
-		results: map[uint64]chan Result{}, onNotice: func(Notice) {}, onConfiguration: func(*catalogue.Catalogue) {}, onRoster: func(*peer.Roster) {}, onBoard: func(*peer.Board) {}, onGrant: func(*peer.QuotaGrant) {}, log: log.Log,
+		results: map[uint64]chan Result{}, onNotice: func(Notice) {}, onConfiguration: func(*catalogue.Catalogue) {}, onRoster: func(*peer.Roster) {}, onBoard: func(*peer.Board, time.Duration) {}, onGrant: func(*peer.QuotaGrant) {}, log: log.Log,
 		failed: make(chan error, 1), done: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -173,6 +176,10 @@
 }
 
 func (h *Host) handleEffects(effects Effects) {
+	// The view tells how old the board is at most, so that it must not be seen before the board.
+	if effects.Board != nil {
+		h.onBoard(effects.Board, h.node.listedAt)
+	}
 	// Requests must see an installed version before any message acknowledges it, since the change may be reported as accepted right after.
 	if effects.Installed {
 		h.publishCatalogue()
@@ -182,9 +189,6 @@
 	if effects.Roster != nil {
 		h.onRoster(effects.Roster)
 	}
-	if effects.Board != nil {
-		h.onBoard(effects.Board)
-	}
 	for _, grant := range effects.Grants {
 		h.onGrant(grant)
 	}
@@ -222,7 +226,7 @@
 	registryBase := h.node.RegistryTime(0)
 	return &View{
 		Catalogue: c, LeasedUntil: h.node.LeasedUntil(), Leader: h.node.Leader(), Boot: h.node.boot, LedgerSequence: h.node.LedgerSequence(),
-		ListedAt:     h.node.listedAt,
+		ListedAt: h.node.listedAt, ConfirmedAt: h.node.confirmedAt,
 		registryBase: registryBase, registryKnown: !registryBase.IsZero(),
 	}
 }
--- a/relay/control/node.go
+++ b/relay/control/node.go
@@ -67,11 +67,11 @@
 	roster   *peer.Roster
 	board    *peer.Board
 	// listedAt is the latest time at which the leader can have read the platform's list for the board, since a grant's transit time
-	// is unknown.
-	listedAt   time.Duration
-	neighbours []string
-	timing     lease.Timing
-	boot       uint64
+	// is unknown, and confirmedAt the earliest one, zero if it is not known. The board was last replaced at boardChangedAt.
+	listedAt, confirmedAt, boardChangedAt time.Duration
+	neighbours                            []string
+	timing                                lease.Timing
+	boot                                  uint64
 	// retries returns the number of requests that this VM may repeat now; nil if it does not tell.
 	retries func() int
 	// persist saves the installed configuration durably; without WithInstalled it does nothing.
--- a/relay/origin/history.go
+++ b/relay/origin/history.go
@@ -6,6 +6,10 @@
 // longer, also if it ends at once.
 const maxGap = 5 * time.Second
 
+// MaxWait is the longest time after a question within which the list must be read again for its answer to count: with the time before
+// the answer it makes no longer gap than maxGap.
+const MaxWait = 3 * time.Second
+
 // MaxWindow is the longest time for which Listed may be asked; versions that were last listed before are forgotten.
 const MaxWindow = time.Hour
 
@@ -55,7 +59,7 @@
 	return h
 }
 
-// Observe adds the versions of each service by a list that was read at a time.
+// Observe adds the versions of each service by a list that was read at a time, or later.
 func (h *History) Observe(readAt time.Duration, origins []Origin) {
 	switch {
 	case !h.read || readAt-h.readAt > maxGap:
@@ -64,9 +68,7 @@
 	default:
 		h.readAt = max(h.readAt, readAt)
 	}
-	for _, o := range origins {
-		h.see(o, readAt)
-	}
+	h.See(readAt, origins)
 	for service, versions := range h.seenAt {
 		for software, at := range versions {
 			if readAt-at > MaxWindow+maxGap {
@@ -79,6 +81,13 @@
 	}
 }
 
+// See adds versions that were listed at a time, or before, without an end to the time since the last reading.
+func (h *History) See(at time.Duration, origins []Origin) {
+	for _, o := range origins {
+		h.see(o, at)
+	}
+}
+
 // see enters that a version was listed at a time.
 func (h *History) see(o Origin, at time.Duration) {
 	versions := h.seenAt[o.Service]
@@ -109,7 +118,7 @@
 type Coverage uint8
 
 const (
-	// Blind means that the list was not read lately.
+	// Blind means that the list was not read within maxGap less MaxWait.
 	Blind Coverage = iota
 	// Partial means that the list was read often enough, but not for the whole time.
 	Partial
@@ -137,7 +146,7 @@
 		l.Software = ""
 	}
 	switch {
-	case !h.read || now-h.readAt > maxGap:
+	case !h.read || now-h.readAt > maxGap-MaxWait:
 	case h.isNew || h.since <= now-window:
 		l.Coverage = Full
 	default:
--- a/relay/origin/lookup.go
+++ b/relay/origin/lookup.go
@@ -13,10 +13,12 @@
 type Lookup struct {
 	service string
 	// listed are the versions that the service is listed with now.
-	listed  []string
-	waiting map[string]bool
-	found   Answer
-	// answers are those of this VM and of control VMs, whose lists are no older than its own; answered counts the latter.
+	listed []string
+	// confirmed is set once this VM has read the list after the lookup began.
+	confirmed bool
+	waiting   map[string]bool
+	found     Answer
+	// answers are those of this VM and of others; answered counts those of control VMs.
 	answers  []Listed
 	answered int
 }
@@ -55,6 +57,21 @@
 	}
 }
 
+// Confirm adds what this VM knows after the list has been read again, so that the list has each version at which a stream may have begun
+// before the lookup.
+func (l *Lookup) Confirm(own Listed, listed []string) {
+	l.answers, l.listed, l.confirmed = append(l.answers, own), listed, true
+}
+
+// Unconfirmed reports whether the origin is known once Confirm adds no other version.
+func (l *Lookup) Unconfirmed() bool {
+	if l.Found() || l.confirmed {
+		return false
+	}
+	_, ok := l.sole()
+	return ok
+}
+
 // Found reports whether a VM has a record of the stream.
 func (l *Lookup) Found() bool { return l.found.Knowledge != Unknown }
 
@@ -69,15 +86,15 @@
 	if l.Found() {
 		return l.found.Origin, l.found.Knowledge, true
 	}
-	if software, ok := l.sole(); ok {
+	if software, ok := l.sole(); ok && l.confirmed {
 		return Origin{Service: l.service, Software: software}, Known, false
 	}
 	return Origin{}, Unknown, false
 }
 
 // sole returns the only version that the service was listed with for as long as a stream lasts: one VM must have read the list for the
-// whole time, and none may know of another version. The list of a VM that reaches no control VM may be older than the first streams of a
-// new version.
+// whole time, and none may know of another version. Each list may be older than the first streams of a new version, also that of a control
+// VM, which may be cut off together with this VM; Confirm has to follow.
 func (l *Lookup) sole() (software string, ok bool) {
 	if len(l.listed) == 0 || l.answered == 0 {
 		return "", false
--- a/relay/origin/origin_test.go
+++ b/relay/origin/origin_test.go
@@ -271,6 +271,9 @@
 		for i, a := range answers {
 			l.Add([]string{"c1", "c2"}[i], true, a)
 		}
+		Expect(l.Unconfirmed()).To(Equal(software != ""))
+		expectResult(l, "", origin.Unknown, false)
+		l.Confirm(own.Listed, listed)
 		expected := origin.Known
 		if software == "" {
 			expected = origin.Unknown
@@ -292,6 +295,20 @@
 		Entry("not if nobody knows any", origin.Answer{}, nil, []string{"v1"}, ""),
 	)
 
+	// Guards against a version that other VMs have used since the lists of all that answer were read, as those of a data centre that is cut off.
+	It("takes no version for the only one if the list shows another once it has been read again", func() {
+		l := lookup(sole("v1"), "v1")
+		l.Add("c1", true, sole("v1"))
+		Expect(l.Unconfirmed()).To(BeTrue())
+		l.Confirm(listed(origin.Full, "v1", "v2").Listed, []string{"v1"})
+		expectResult(l, "", origin.Unknown, false)
+		l = lookup(sole("v1"), "v1")
+		l.Add("c1", true, sole("v1"))
+		l.Confirm(sole("v1").Listed, []string{"v1", "v2"})
+		expectResult(l, "", origin.Unknown, false)
+		Expect(l.Unconfirmed()).To(BeFalse())
+	})
+
 	It("counts the answers of control VMs only, so that others can't stand for them", func() {
 		l := lookup(origin.Answer{}, "v1")
 		l.Add("c1", false, origin.Answer{})
--- a/relay/vm/control.go
+++ b/relay/vm/control.go
@@ -124,13 +124,12 @@
 }
 
 func newHost(st *state, s settings.Settings, node *control.Node, mesh *peerMesh, logger log.Interface) *control.Host {
-	var host *control.Host
-	host = control.NewHost(node, control.WithLog(logger), control.WithConfigurationHandler(st.install), control.WithRosterHandler(func(r *peer.Roster) {
+	host := control.NewHost(node, control.WithLog(logger), control.WithConfigurationHandler(st.install), control.WithRosterHandler(func(r *peer.Roster) {
 		st.vms.Store(r)
 		mesh.setRoster(r)
 		st.onChange()
-	}), control.WithBoardHandler(func(b *peer.Board) {
-		st.setList(directory.Decode(b), host.View().ListedAt, "leader")
+	}), control.WithBoardHandler(func(b *peer.Board, listedAt time.Duration) {
+		st.setList(directory.Decode(b), listedAt, "leader")
 	}), control.WithGrantHandler(func(g *peer.QuotaGrant) { mesh.onGrant(s.Name, g) }))
 	st.registryTime = func() time.Time { return host.View().RegistryTime(host.Now()) }
 	st.current = host.Leased
--- a/relay/vm/origins.go
+++ b/relay/vm/origins.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -16,11 +15,9 @@
 	"go.uber.org/fx"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
-	"github.com/chicoryrelay/chicoryrelay/relay/forward"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
 	"github.com/chicoryrelay/chicoryrelay/relay/origin"
-	"github.com/chicoryrelay/chicoryrelay/relay/outcome"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
-	"github.com/chicoryrelay/chicoryrelay/relay/route"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
 )
 
@@ -32,20 +29,11 @@
 	originInterval = 20 * time.Millisecond
 	// historyInterval is the interval at which the list of upstreams is entered into the history.
 	historyInterval = 500 * time.Millisecond
-	// maxControlWait limits the wait for the control VMs that are asked for an origin, maxCellWait that for the VMs of the cell which are
-	// asked after them. originRepeat is the interval at which those are asked again whose session has just opened.
-	maxControlWait = 250 * time.Millisecond
-	maxCellWait    = 100 * time.Millisecond
-	originRepeat   = 50 * time.Millisecond
 	// maxEntryRecords and maxControlRecords limit the records of a VM, of about 100 bytes each.
 	maxEntryRecords   = 1 << 15
 	maxControlRecords = 1 << 18
 	// maxMessageRecords limits the records of one message, of 22 bytes each.
 	maxMessageRecords = 4096
-	// minStreamTime and streamTimes say for how long one software version alone must have been listed to be the one of a stream without a
-	// record: a caller's time limit is at most so many times the longest timeout of the routes.
-	minStreamTime = 30 * time.Second
-	streamTimes   = 2
 )
 
 // origins records where the streams of this VM began, keeps such records of others on a control VM, and looks them up.
@@ -67,18 +55,14 @@
 	last uint64
 	// boots are the last incarnations of the other VMs, completed those of the control VMs that have got all records.
 	boots, completed map[string]uint64
+	// ownReadAt is when the last own reading of the list that is in the history began.
+	ownReadAt time.Duration
 	// file is nil on a VM without a data folder.
 	file *originFile
 
 	recorded, looked, missed atomic.Uint64
 }
 
-// originLookup is a lookup in progress; changed receives a value after each answer.
-type originLookup struct {
-	*origin.Lookup
-	changed chan struct{}
-}
-
 func newOrigins(s settings.Settings, st *state, host *control.Host, m *peerMesh, logger log.Interface) *origins {
 	limit := maxEntryRecords
 	if s.Data != "" {
@@ -130,23 +114,43 @@
 	}
 }
 
-// observe enters the present list into the history; the caller holds the lock.
+// observe enters the present list and this VM's own last reading into the history; the caller holds the lock.
 func (o *origins) observe() {
-	// The time is read first: a list may be newer than it, not older.
-	readAt := o.host.View().ListedAt
-	if read := o.state.reading.Load(); read != nil {
-		readAt = max(readAt, read.at)
-	}
+	// The times are read first: a list may be newer than they are, not older.
+	view := o.host.View()
 	list := o.state.list.Load()
-	if list == nil || readAt == 0 {
-		return
+	read := o.state.reading.Load()
+	// Ages on the clock of the control state count on that of the history too.
+	offset := o.state.now() - o.host.Now()
+	if list != nil && view.ListedAt > 0 {
+		listed := originsOf(list)
+		o.history.See(view.ListedAt+offset, listed)
+		if view.ConfirmedAt > 0 {
+			o.history.Observe(view.ConfirmedAt+offset, listed)
+		}
 	}
-	age := o.host.Now() - readAt
+	if read != nil && read.at > o.ownReadAt {
+		o.ownReadAt = read.at
+		o.history.Observe(read.at+offset, originsOf(read.list))
+	}
+}
+
+// originsOf returns the services and versions of a list.
+func originsOf(list *directory.List) []origin.Origin {
 	all := make([]origin.Origin, len(list.Upstreams))
 	for i := range list.Upstreams {
 		all[i] = origin.Origin{Service: list.Upstreams[i].Service, Software: list.Upstreams[i].Software}
 	}
-	o.history.Observe(o.state.now()-age, all)
+	return all
+}
+
+// confirmedAt returns the earliest time, on the clock of the control state, at which the present list can have been read.
+func (o *origins) confirmedAt() time.Duration {
+	at := o.host.View().ConfirmedAt
+	if read := o.state.reading.Load(); read != nil {
+		at = max(at, read.at)
+	}
+	return at
 }
 
 // record records where a stream began that its caller may take up until a time, and sends the record to control VMs.
@@ -324,123 +328,6 @@
 	}
 }
 
-// streamTime returns the time for which a stream can last with all its take-ups.
-func streamTime(table *route.Table) time.Duration {
-	longest := time.Duration(0)
-	if table != nil {
-		for i := range table.State.Routes {
-			longest = max(longest, table.State.Routes[i].Timeout)
-		}
-	}
-	return max(minStreamTime, min(streamTimes*longest, origin.MaxWindow))
-}
-
-// find returns where the stream of an attempt began that its caller takes up on a route to a service. The error is the refusal of a stream
-// whose origin nobody knows.
-func (o *origins) find(ctx context.Context, r *forward.PlacementRequest) (origin.Origin, error) {
-	o.looked.Add(1)
-	account, attempt, service := accountName(r.Account), r.Metadata.Resumes, ""
-	if r.Service != nil {
-		service = r.Service.Name
-	}
-	request := &peer.OriginRequest{Service: service, Window: uint32(streamTime(o.state.table.Load()).Milliseconds())}
-	if attempt != "" {
-		key := origin.NewKey(account, attempt)
-		request.Stream = key[:]
-	}
-	lookup, end := o.begin(request)
-	defer end()
-	o.ask(ctx, lookup, request, o.mesh.controls(), maxControlWait)
-	found, knowledge, isRecord := o.result(lookup)
-	if knowledge == origin.Unknown && attempt != "" {
-		if names := o.mesh.broadcastPeers.Load(); names != nil {
-			o.ask(ctx, lookup, request, *names, maxCellWait)
-			found, knowledge, isRecord = o.result(lookup)
-		}
-	}
-	if knowledge == origin.Known && !isRecord && r.Route.IsShared() {
-		// The service at which the stream began isn't known.
-		knowledge = origin.Unknown
-	}
-	entry := o.log.WithFields(log.Fields{"request": r.ID, "resumes": attempt, "service": found.Service, "software": found.Software, "record": isRecord, "age": time.Since(r.Arrived)})
-	if knowledge == origin.Known {
-		entry.Info("stream taken up")
-		return found, nil
-	}
-	o.missed.Add(1)
-	refusal := outcome.Refuse(outcome.OriginUnknown, "the software version that began the stream is not known, so that no upstream may go on with it; send the request again without its last event")
-	o.mu.Lock()
-	answered := lookup.Answered()
-	o.mu.Unlock()
-	if knowledge == origin.Several {
-		return found, refusal.WithCause(errors.New("streams of this attempt began at several software versions"))
-	}
-	if !answered {
-		return found, refusal.WithRetryAfter(maxControlWait).WithCause(errors.New("no control VM has answered"))
-	}
-	return found, refusal
-}
-
-// begin begins a lookup with what this VM knows itself; the returned function ends it.
-func (o *origins) begin(request *peer.OriginRequest) (*originLookup, func()) {
-	var listed []string
-	for _, u := range o.state.list.Load().Service(request.Service) {
-		listed = append(listed, u.Software)
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	own := o.answer(request.Stream, request.Service, time.Duration(request.Window)*time.Millisecond)
-	lookup := &originLookup{Lookup: origin.NewLookup(request.Service, own, listed), changed: make(chan struct{}, 1)}
-	o.last++
-	request.Id = o.last
-	o.lookups[request.Id] = lookup
-	return lookup, func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		delete(o.lookups, request.Id)
-	}
-}
-
-// ask asks other VMs and waits until the origin is known, all have answered or the time is over.
-func (o *origins) ask(ctx context.Context, lookup *originLookup, request *peer.OriginRequest, names []string, limit time.Duration) {
-	o.mu.Lock()
-	if !lookup.Found() {
-		lookup.Ask(names)
-	}
-	o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	repeat := time.NewTicker(originRepeat)
-	defer repeat.Stop()
-	due := true
-	for {
-		o.mu.Lock()
-		done := lookup.Done()
-		waiting := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !lookup.Waiting(name) })
-		o.mu.Unlock()
-		if done {
-			return
-		}
-		if due {
-			o.mesh.mesh.Broadcast(waiting, &peer.Envelope{Body: &peer.Envelope_OriginRequest{OriginRequest: request}})
-			due = false
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-repeat.C:
-			due = true
-		case <-lookup.changed:
-		}
-	}
-}
-
-func (o *origins) result(lookup *originLookup) (origin.Origin, origin.Knowledge, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return lookup.Result()
-}
-
 // lines returns the metrics, one a line.
 func (o *origins) lines() []string {
 	o.mu.Lock()
--- a/relay/vm/origins_test.go
+++ b/relay/vm/origins_test.go
@@ -1,16 +1,19 @@
 package vm
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chicoryrelay/chicoryrelay/relay/control"
+	"github.com/chicoryrelay/chicoryrelay/relay/directory"
 	"github.com/chicoryrelay/chicoryrelay/relay/origin"
 	"github.com/chicoryrelay/chicoryrelay/relay/peer"
 	"github.com/chicoryrelay/chicoryrelay/relay/settings"
@@ -100,6 +103,60 @@
 	})
 })
 
+var _ = Describe("lookup of a stream without a record", func() {
+	listOf := func(versions ...string) []directory.Upstream {
+		var upstreams []directory.Upstream
+		for _, v := range versions {
+			upstreams = append(upstreams, directory.Upstream{ID: v, Service: "kiosk", Software: v})
+		}
+		return upstreams
+	}
+	// lookUp returns the result of a lookup that a control VM answers with v1 as the only version, while this VM reads the list as given.
+	lookUp := func(read func(*origins)) (origin.Origin, origin.Knowledge) {
+		node := control.New("vm", 1)
+		st := newState(Adapter{}, &log.Logger{Handler: discard.New()})
+		st.setList(listOf("v1"), 0, "list")
+		o := newOrigins(settings.Default(), st, control.NewHost(node), &peerMesh{mesh: peer.New(), host: control.NewHost(node)}, st.log)
+		request := &peer.OriginRequest{Service: "kiosk", Window: 1000}
+		began := o.host.Now()
+		lookup, end := o.begin(request)
+		defer end()
+		lookup.Ask([]string{"c1"})
+		lookup.Add("c1", true, origin.Answer{Listed: origin.Listed{Coverage: origin.Full, Count: 1, Software: "v1"}})
+		Expect(o.isUnconfirmed(lookup)).To(BeTrue())
+		go read(o)
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		o.confirm(ctx, lookup, request, began)
+		found, knowledge, _ := o.result(lookup)
+		return found, knowledge
+	}
+	readAgain := func(versions ...string) func(o *origins) {
+		return func(o *origins) {
+			at := o.host.Now()
+			o.state.setList(listOf(versions...), at, "list")
+			o.state.reading.Store(newReading(listOf(versions...), at))
+		}
+	}
+
+	// Guards against a stream that goes on at another version, since this VM and the control VM that answers are cut off together.
+	It("waits until the list has been read after its caller took it up", func() {
+		found, knowledge := lookUp(readAgain("v1"))
+		Expect(knowledge).To(Equal(origin.Known))
+		Expect(found.Software).To(Equal("v1"))
+		_, knowledge = lookUp(readAgain("v1", "v2"))
+		Expect(knowledge).To(Equal(origin.Unknown))
+	})
+
+	It("is unknown, and wants the list read, while it is not read again", func() {
+		_, knowledge := lookUp(func(o *origins) {
+			o.state.reading.Store(newReading(listOf("v1"), 0))
+			Eventually(o.state.listWantedAt.Load).Should(BeNumerically(">", 0))
+		})
+		Expect(knowledge).To(Equal(origin.Unknown))
+	})
+})
+
 // BenchmarkOrigins receives messages with the records of one VM's new streams at a control VM.
 func BenchmarkOrigins(b *testing.B) {
 	for _, count := range []int{1, 28} {
--- a/relay/vm/state.go
+++ b/relay/vm/state.go
@@ -25,8 +25,10 @@
 	list    atomic.Pointer[directory.List]
 	// reading is this VM's own last reading of the platform's list; nil if it has made none.
 	reading atomic.Pointer[reading]
-	weights atomic.Pointer[map[string]catalogue.Weights]
-	vms     atomic.Pointer[peer.Roster]
+	// listWantedAt is when a request last waited for a newer list, on the clock of the control state; zero if none has.
+	listWantedAt atomic.Int64
+	weights      atomic.Pointer[map[string]catalogue.Weights]
+	vms          atomic.Pointer[peer.Roster]
 	// limits are the limits of the accounts of the table; nil if no account has one.
 	limits atomic.Pointer[quota.Limits]
 	// departures is the number of upstreams that have announced that they leave, so that most answers need no lock.
--- a/relay/vm/watch.go
+++ b/relay/vm/watch.go
@@ -25,6 +25,8 @@
 	listInterval = 700 * time.Millisecond
 	// maxListAge is the age of the leader's list from which a VM reads the list itself.
 	maxListAge = 2500 * time.Millisecond
+	// maxWantedListAge is that age while requests wait for a newer list: the leader's interval and the renewal of a lease are over.
+	maxWantedListAge = 1200 * time.Millisecond
 	// listPageTimeout limits the request of one page.
 	listPageTimeout = time.Second
 	// maxListed and maxListPages limit the upstreams and pages of one reading of the list, whose pages could name a next one without end.
@@ -94,7 +96,7 @@
 		if w.settings.Data != "" {
 			return
 		}
-		if w.state.list.Load() != nil && now-w.host.View().ListedAt < maxListAge {
+		if w.state.list.Load() != nil && !w.isOverdue(now) {
 			w.listBackoff = listBackoff{}
 			return
 		}
@@ -124,13 +126,23 @@
 		w.log.WithField("upstreams", len(upstreams)).Info("platform list read again")
 		w.failing = false
 	}
-	w.state.reading.Store(newReading(upstreams, startedAt))
+	// Who sees the reading must see its list.
 	w.state.setList(upstreams, startedAt, "list")
+	w.state.reading.Store(newReading(upstreams, startedAt))
 	if leader {
 		w.host.PublishBoard(directory.Encode(w.state.list.Load().Upstreams), startedAt)
 	}
 }
 
+// isOverdue reports whether the leader's list is so old that this VM reads the list itself.
+func (w *watcher) isOverdue(now time.Duration) bool {
+	limit := maxListAge
+	if wantedAt := time.Duration(w.state.listWantedAt.Load()); wantedAt > 0 && now-wantedAt < listInterval {
+		limit = maxWantedListAge
+	}
+	return now-w.host.View().ListedAt >= limit
+}
+
 // readPages reads the pages that are still missing.
 func (w *watcher) readPages(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, maxPartialAge)
