Interrupt the streams of a peer session before it is closed

Cause: yamux marks a session as closed before it ends the session's streams, for which it waits for the receive loop. Meanwhile each reader of a stream turns without a pause. The goroutine that interrupts the readers begins once the session is closed, so that on one processor each waits for its turn behind all readers that turn.

Change: each close by the mesh, and each error of the connection before yamux sees it, first sets deadlines of the streams that have passed; no later deadline replaces them.

--- a/relay/peer/link.go
+++ b/relay/peer/link.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
@@ -36,15 +37,94 @@
 }
 
 // session is a yamux session with the stream that this side opened for its outgoing messages.
+//
+// Yamux tells its streams of a session's end only once its own receive loop has ended. Until then each of their readers and writers turns
+// without a pause, and on one processor keeps that loop from running, so that they are interrupted before.
 type session struct {
 	mux *yamux.Session
 	out net.Conn
+
+	mu      sync.Mutex
+	streams []net.Conn
+	// interrupted is set once the session ends; its streams then keep the deadline that has passed.
+	interrupted bool
+}
+
+// add adds a stream of the session.
+func (s *session) add(stream net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams = append(s.streams, stream)
+	if s.interrupted {
+		s.endStreams()
+	}
+}
+
+// limit sets the deadline of all streams; a zero time removes it.
+func (s *session) limit(deadline time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.interrupted {
+		return
+	}
+	for _, stream := range s.streams {
+		_ = stream.SetDeadline(deadline)
+	}
+}
+
+// limitWrite sets the deadline of the next message.
+func (s *session) limitWrite(deadline time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.interrupted {
+		_ = s.out.SetWriteDeadline(deadline)
+	}
+}
+
+// interrupt ends the reads and writes of all streams, now and later.
+func (s *session) interrupt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interrupted = true
+	s.endStreams()
+}
+
+// endStreams sets deadlines that have passed; the caller holds the lock.
+func (s *session) endStreams() {
+	for _, stream := range s.streams {
+		_ = stream.SetDeadline(time.Unix(1, 0))
+	}
 }
 
 func (s *session) close() {
+	s.interrupt()
 	_ = s.mux.Close()
 }
 
+// sessionConn is the connection of a session; an error, which ends the session, interrupts its streams before yamux learns of it.
+type sessionConn struct {
+	net.Conn
+	session *session
+}
+
+// Read implements net.Conn.
+func (c *sessionConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if err != nil {
+		c.session.interrupt()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *sessionConn) Write(from []byte) (int, error) {
+	n, err := c.Conn.Write(from)
+	if err != nil {
+		c.session.interrupt()
+	}
+	return n, err
+}
+
 // current returns the newest open session, or nil. When it closes, the next older open session is used again, because the
 // peer does not dial while it has a session open.
 func (l *link) current() *session {
--- a/relay/peer/session.go
+++ b/relay/peer/session.go
@@ -25,46 +25,48 @@
 
 // runClient runs a session on a dialled connection until it ends.
 func (m *Mesh) runClient(conn net.Conn, name string) {
-	mux, err := yamux.Client(conn, m.yamuxConfig())
-	if err != nil {
+	s := &session{}
+	var err error
+	if s.mux, err = yamux.Client(&sessionConn{conn, s}, m.yamuxConfig()); err != nil {
 		_ = conn.Close()
 		return
 	}
-	m.runSession(mux, conn, name)
+	m.runSession(s, conn, name)
 }
 
 // runServer runs a session on an accepted connection until it ends.
 func (m *Mesh) runServer(conn net.Conn) {
-	mux, err := yamux.Server(conn, m.yamuxConfig())
-	if err != nil {
+	s := &session{}
+	var err error
+	if s.mux, err = yamux.Server(&sessionConn{conn, s}, m.yamuxConfig()); err != nil {
 		_ = conn.Close()
 		return
 	}
-	m.runSession(mux, conn, "")
+	m.runSession(s, conn, "")
 }
 
 // runSession performs the handshake, in which each side sends its Hello on the stream that it opens, and then reads messages
 // until the session ends. If expected is not empty, the peer must have this name.
-func (m *Mesh) runSession(mux *yamux.Session, conn net.Conn, expected string) {
+func (m *Mesh) runSession(s *session, conn net.Conn, expected string) {
 	ended := make(chan struct{})
 	defer close(ended)
 	m.group.Go(func() {
 		select {
 		case <-m.ctx.Done():
-			_ = mux.Close()
+			s.close()
 		case <-ended:
 		}
 	})
-	defer func() { _ = mux.Close() }()
-	out, in, hello, err := m.handshake(mux)
+	defer s.close()
+	in, hello, err := m.handshake(s)
 	if err != nil {
 		m.log.WithField("cause", err.Error()).Debug("peer session refused")
 		return
 	}
 	m.group.Go(func() {
-		<-mux.CloseChan()
-		interrupt(in.stream)
-		interrupt(out)
+		// Yamux may close the session by itself.
+		<-s.mux.CloseChan()
+		s.interrupt()
 	})
 	if expected != "" && hello.GetName() != expected {
 		m.log.WithField("expected", expected).WithField("found", hello.GetName()).Error("another VM answers at this address: correct the peer's address in the settings")
@@ -74,27 +76,17 @@
 	m.mu.Lock()
 	l := m.link(hello.GetName())
 	m.mu.Unlock()
-	if l.add(&session{mux: mux, out: out}) {
+	if l.add(s) {
 		m.counters.Replaced.Add(1)
 	}
-	m.group.Go(func() { m.sendHeartbeats(mux, hello.GetName(), ended) })
+	m.group.Go(func() { m.sendHeartbeats(s, hello.GetName(), ended) })
 	m.log.WithField("peer", hello.GetName()).WithField("boot", hello.GetBoot()).Info("peer connected")
-	err = m.readLoop(conn, in.reader, hello)
-	m.log.WithField("peer", hello.GetName()).WithField("closed", mux.IsClosed()).WithField("cause", err.Error()).Info("peer disconnected")
-}
-
-// interrupt ends the reads and writes of a stream whose session is closed. Yamux tells its streams only once its own receive loop has
-// ended, and until then each of their readers and writers turns without a pause.
-func interrupt(stream net.Conn) { _ = stream.SetDeadline(time.Unix(1, 0)) }
-
-// incoming is the stream that the peer has opened, and its buffered reader.
-type incoming struct {
-	stream net.Conn
-	reader *bufio.Reader
+	err = m.readLoop(conn, in, hello)
+	m.log.WithField("peer", hello.GetName()).WithField("closed", s.mux.IsClosed()).WithField("cause", err.Error()).Info("peer disconnected")
 }
 
 // sendHeartbeats sends heartbeats until the session ends, and closes a session whose heartbeat is not answered in time.
-func (m *Mesh) sendHeartbeats(mux *yamux.Session, name string, ended <-chan struct{}) {
+func (m *Mesh) sendHeartbeats(s *session, name string, ended <-chan struct{}) {
 	timer := time.NewTimer(m.heartbeatInterval(name))
 	defer timer.Stop()
 	for {
@@ -103,8 +95,8 @@
 			return
 		case <-timer.C:
 		}
-		if _, err := mux.Ping(); err != nil {
-			_ = mux.Close()
+		if _, err := s.mux.Ping(); err != nil {
+			s.close()
 			return
 		}
 		timer.Reset(m.heartbeatInterval(name))
@@ -117,32 +109,33 @@
 }
 
 // handshake exchanges the Hello messages. Each of its steps has a deadline of its own, as a closed session alone doesn't end them.
-func (m *Mesh) handshake(mux *yamux.Session) (out net.Conn, in incoming, hello *Hello, err error) {
-	timer := time.AfterFunc(m.sessionTimeout, func() { _ = mux.Close() })
+func (m *Mesh) handshake(s *session) (in *bufio.Reader, hello *Hello, err error) {
+	timer := time.AfterFunc(m.sessionTimeout, s.close)
 	defer timer.Stop()
 	deadline := time.Now().Add(m.sessionTimeout)
-	if out, err = mux.Open(); err != nil {
-		return nil, in, nil, err
+	if s.out, err = s.mux.Open(); err != nil {
+		return nil, nil, err
 	}
-	_ = out.SetDeadline(deadline)
-	if _, err := writeMessage(out, &Hello{Name: m.name, Centre: m.centre, Boot: m.boot, Address: m.address.String()}); err != nil {
-		return nil, in, nil, err
+	s.add(s.out)
+	s.limit(deadline)
+	if _, err := writeMessage(s.out, &Hello{Name: m.name, Centre: m.centre, Boot: m.boot, Address: m.address.String()}); err != nil {
+		return nil, nil, err
 	}
-	stream, err := mux.Accept()
+	stream, err := s.mux.Accept()
 	if err != nil {
-		return nil, in, nil, err
+		return nil, nil, err
 	}
-	_ = stream.SetDeadline(deadline)
-	in, hello = incoming{stream, bufio.NewReader(stream)}, &Hello{}
-	if _, err := readMessage(in.reader, hello); err != nil {
-		return nil, in, nil, err
+	s.add(stream)
+	s.limit(deadline)
+	in, hello = bufio.NewReader(stream), &Hello{}
+	if _, err := readMessage(in, hello); err != nil {
+		return nil, nil, err
 	}
-	_ = out.SetDeadline(time.Time{})
-	_ = stream.SetDeadline(time.Time{})
+	s.limit(time.Time{})
 	if hello.GetName() == "" || hello.GetName() == m.name {
-		return nil, in, nil, oops.With("name", hello.GetName()).Hint("give each VM a unique name in its settings").Errorf("peer has no name or the name of this VM")
+		return nil, nil, oops.With("name", hello.GetName()).Hint("give each VM a unique name in its settings").Errorf("peer has no name or the name of this VM")
 	}
-	return out, in, hello, nil
+	return in, hello, nil
 }
 
 // readLoop passes on the messages of a session until its end, and returns the error that ended it.
@@ -174,11 +167,7 @@
 				m.counters.Dropped.Add(1)
 				continue
 			}
-			_ = s.out.SetWriteDeadline(time.Now().Add(m.sessionTimeout))
-			if s.mux.IsClosed() {
-				// The deadline may have replaced that of interrupt.
-				interrupt(s.out)
-			}
+			s.limitWrite(time.Now().Add(m.sessionTimeout))
 			n, err := s.out.Write(frame)
 			m.counters.Bytes.Add(int64(n))
 			if err != nil {
--- a/relay/peer/session_end_test.go
+++ b/relay/peer/session_end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,34 @@
 	})
 })
 
+var _ = Describe("sessions on one processor that are closed while the receive loops of their connections are held up", func() {
+	// Guards against readers that keep the processor from all else, the receive loops included, until each has been interrupted in its turn.
+	It("end their readers at once", func() {
+		var closing []func()
+		var ended []*atomic.Bool
+		for range 60 {
+			client, server, conn, isEnded := pair()
+			DeferCleanup(func() {
+				conn.release()
+				client.Close()
+				server.Close()
+			})
+			conn.holding.Store(true)
+			closing, ended = append(closing, func() { closeSessions(client, "b") }), append(ended, isEnded)
+		}
+		before := runtime.GOMAXPROCS(1)
+		defer runtime.GOMAXPROCS(before)
+		began := time.Now()
+		for _, closeSession := range closing {
+			go closeSession()
+		}
+		for _, isEnded := range ended {
+			Eventually(isEnded.Load, "10s", "1ms").Should(BeTrue())
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+})
+
 var _ = Describe("sessions that end in random ways", func() {
 	It("leave no goroutine behind", func() {
 		before := gleak.Goroutines()
